--- /dev/null
+++ b/wire/adapter.go
@@ -0,0 +1,239 @@
+package wire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+
+	"switchfork/brain"
+)
+
+var outcomes = map[int]brain.Outcome{100: brain.OK, 301: brain.Errored, 302: brain.TurnedOff,
+	303: brain.TimedOut, 304: brain.NoConnect, 305: brain.Broken, 306: brain.CalledOff, 307: brain.Moot}
+
+var phases = []brain.Phase{brain.OnTrial, brain.GoingBack, brain.Released, brain.Withdrawn}
+
+const everyPeer = 0xffffffff
+
+// Host runs the instances of one process; they share nothing but the wire.
+type Host struct {
+	live  map[int]brain.Router
+	lists map[int][]brain.Row
+}
+
+func NewHost() *Host { return &Host{live: map[int]brain.Router{}, lists: map[int][]brain.Row{}} }
+
+// Serve answers batches until the input ends.
+func (h *Host) Serve(in io.Reader, out io.Writer) error {
+	src, dst := bufio.NewReaderSize(in, 1<<16), bufio.NewWriter(out)
+	for {
+		body, err := readFrame(src)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		reply, err := h.batch(body)
+		if err != nil {
+			return err
+		}
+		if _, err = dst.Write(reply); err == nil {
+			err = dst.Flush()
+		}
+		if err != nil {
+			return fmt.Errorf("writing a reply: %w", err)
+		}
+	}
+}
+
+func (h *Host) batch(body []byte) ([]byte, error) {
+	r := &reader{buf: body, what: "batch header"}
+	count, now := int(r.u32()), r.micros("clock")
+	w := &writer{buf: make([]byte, 4, 256)}
+	for i := 0; i < count && r.err == nil; i++ {
+		r.what = fmt.Sprintf("record %d of %d", i, count)
+		code := r.u8()
+		rec := &reader{buf: r.text(int(r.u32())), what: fmt.Sprintf("record %d, code %d", i, code)}
+		if r.err != nil {
+			break
+		}
+		if err := h.record(now, code, rec, w); err != nil {
+			return nil, err
+		}
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	if len(r.buf) > 0 {
+		return nil, fmt.Errorf("batch: %d bytes are left after its %d records", len(r.buf), count)
+	}
+	order.PutUint32(w.buf, uint32(len(w.buf)))
+	return w.buf, nil
+}
+
+func (h *Host) record(now int64, code int, r *reader, w *writer) error {
+	if code == 13 {
+		return h.keepList(r)
+	}
+	if code > 13 {
+		return nil // an event of a later wire
+	}
+	who := r.u16()
+	if r.err == nil && code == 0 {
+		seed := r.u64()
+		env := string(r.text(int(r.u32())))
+		if r.err != nil {
+			return r.err
+		}
+		m, err := open(seed, env)
+		if err != nil {
+			return fmt.Errorf("instance %d: %w", who, err)
+		}
+		h.live[who] = m
+		return nil
+	}
+	if r.err == nil && code == 9 {
+		delete(h.live, who)
+		return nil
+	}
+	ev, err := h.event(code, r)
+	if err != nil {
+		return err
+	}
+	m := h.live[who]
+	if m == nil {
+		return fmt.Errorf("code %d: instance %d has not started", code, who)
+	}
+	handle(m, now, ev, who, w)
+	return nil
+}
+
+// handle turns a panic of the module into the wire's word for it.
+func handle(m brain.Router, now int64, ev brain.Event, who int, w *writer) {
+	keep := len(w.buf)
+	defer func() {
+		if p := recover(); p != nil {
+			w.buf = w.buf[:keep]
+			text := []byte(fmt.Sprint(p))
+			w.record(5, who, func() { w.text(text[:min(len(text), 2000)]) })
+		}
+	}()
+	for _, o := range m.Handle(now, ev) {
+		encode(w, who, o)
+	}
+}
+
+func (h *Host) keepList(r *reader) error {
+	buf, n := r.u8(), int(r.u32())
+	if r.err == nil && n*25 > len(r.buf) {
+		return fmt.Errorf("%s: %d list entries do not fit in %d bytes", r.what, n, len(r.buf))
+	}
+	rows := make([]brain.Row, 0, n)
+	for i := 0; i < n && r.err == nil; i++ {
+		row := brain.Row{ID: r.u32(), Build: int(r.f32()), Zone: r.u8()}
+		state := r.u8()
+		if state > 2 {
+			return fmt.Errorf("%s: appliance %d has phase %d", r.what, row.ID, state)
+		}
+		row.State = brain.State(state)
+		r.u8()
+		row.Cell, row.Started, row.Weight = r.u16(), r.micros("UpSinceMs"), r.f32()
+		rows = append(rows, row)
+	}
+	h.lists[buf] = rows
+	return r.err
+}
+
+func (h *Host) event(code int, r *reader) (brain.Event, error) {
+	outcome := func() brain.Outcome {
+		c := r.u16()
+		o, ok := outcomes[c]
+		if !ok && r.err == nil {
+			r.err = fmt.Errorf("%s: outcome %d is not known", r.what, c)
+		}
+		return o
+	}
+	var ev brain.Event
+	switch code {
+	case 1:
+		how := r.u8()
+		r.u64()
+		buf := r.u8()
+		rows, ok := h.lists[buf]
+		if how > 3 || (how != 3 && !ok && r.err == nil) {
+			return nil, fmt.Errorf("%s: list news of kind %d names list %d", r.what, how, buf)
+		}
+		if how == 3 {
+			rows = nil
+		}
+		ev = brain.Listed{Full: how == 1 || how == 2, Failed: how == 3, Rows: rows}
+	case 2:
+		t := brain.Taken{ID: r.u64(), Product: r.u16(), Customer: int(r.u32()), Key: r.u64(),
+			Expires: r.micros("ExpiresMs")}
+		t.Work = r.micros("WeightHintMs")
+		opts := r.u8()
+		if opts&1 == 0 {
+			t.Work = 0
+		}
+		t.Repeat = opts&2 != 0
+		ev = t
+	case 3:
+		ev = brain.Begun{ID: r.u64()}
+	case 4:
+		e := brain.Ended{ID: r.u64()}
+		r.u8()
+		e.Appliance, e.Outcome, e.Took, e.Over, e.Load = r.u32(), outcome(), r.micros("WaitTimeMs"), r.u8() != 0, r.floats()
+		ev = e
+	case 5:
+		ev = brain.Abandoned{ID: r.u64()}
+	case 6:
+		ev = brain.Bell{Token: r.u64()}
+	case 7:
+		ev = brain.Probed{Appliance: r.u32(), Outcome: outcome(), Took: r.micros("WaitTimeMs"), Load: r.floats()}
+	case 8:
+		from := int(r.u32())
+		ev = brain.Heard{From: from, Text: r.text(r.u16())}
+	case 10:
+		s := brain.Staged{Build: r.u16(), Stage: r.u8()}
+		p := r.u8()
+		if p >= len(phases) {
+			return nil, fmt.Errorf("%s: phase %d of a build is not known", r.what, p)
+		}
+		s.Phase, s.Answer, s.Outcome, s.Cap, s.Age = phases[p], r.u8() == 1, outcome(), r.f32(), r.micros("LatenessMs")
+		ev = s
+	case 11:
+		ev = brain.Tallied{Build: r.u16(), Product: r.u16(), Many: int(r.u32()), Lost: int(r.u32()),
+			Took: r.micros("WaitTimeMs"), Age: r.micros("LatenessMs")}
+	case 12:
+		ev = brain.Flagged{Product: r.u16(), Age: r.micros("LatenessMs"), Appliance: r.u32()}
+	}
+	return ev, r.err
+}
+
+func encode(w *writer, who int, o brain.Order) {
+	switch o := o.(type) {
+	case brain.Decline:
+		w.record(0, who, func() { w.u64(o.ID); w.ms(o.HoldOff) })
+	case brain.Say:
+		w.record(1, who, func() { w.text([]byte(o.Text)) })
+	case brain.Probe:
+		w.record(2, who, func() { w.u32(o.Appliance) })
+	case brain.Wake:
+		w.record(3, who, func() { w.ms(o.At); w.u64(o.Token) })
+	case brain.Tell:
+		w.record(4, who, func() { w.u32(everyPeer); w.text(o.Text) })
+	case brain.CallOff:
+		w.record(7, who, func() { w.u64(o.ID); w.u8(o.Seq) })
+	case brain.Vote:
+		w.record(8, who, func() { w.u16(o.Build); w.u8(o.Stage); w.u8(int(o.Verdict)) })
+	case brain.Submit:
+		w.record(10, who, func() { w.u64(o.ID); w.ms(o.Patience); w.u32(o.Appliance) })
+	case brain.Watch:
+		w.record(11, who, func() { w.u8(1) })
+	case brain.Void:
+		w.record(12, who, func() { w.u64(o.ID) })
+	default:
+		panic(fmt.Sprintf("no wire form for order %T", o))
+	}
+}
