--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,7 +25,7 @@
 type (
 	note any
 	// sent tells an appliance that a submission is on its way to it.
-	sent struct{}
+	sent struct{ work float64 }
 	// beat is the tick by which parts look at the time.
 	beat struct{}
 	// told is an outcome with the record of the appliance that gave it.
@@ -39,6 +39,11 @@
 	wrong struct{ by *appliance }
 )
 
+type load struct {
+	at   Micros
+	work float64
+}
+
 type inbox struct{ notes []note }
 
 func (b *inbox) put(n note) { b.notes = append(b.notes, n) }
@@ -89,6 +94,9 @@
 		agents: st.Agents, wave: wave{spoiled: map[int]bool{}, plan: plan}, txns: map[uint64]*txn{},
 		bound: map[uint64]int{}, count: count, homeward: 1 + 40*fares.CrossZone}
 	d.taken = make([][]tick, len(products))
+	for _, p := range products {
+		d.usual = max(d.usual, float64(p.SLA)/4) // until answers tell
+	}
 	r := &lister{line: l, ask: may.Ask}
 	return &agent{line: l, fleet: f, desk: d, judge: j, lister: r, parts: []part{f, j, d, r}}
 }
@@ -212,11 +220,11 @@
 	points  []uint64
 	probes  bool
 	cold    ColdStart
-	out     int      // own submissions that have no outcome yet
-	strikes int      // silent outcomes in a row
-	aside   Micros   // set aside until then
-	asking  bool     // a probe is out
-	sends   []Micros // while cold: own submissions of the counted span
+	out     int    // own submissions that have no outcome yet
+	strikes int    // silent outcomes in a row
+	aside   Micros // set aside until then
+	asking  bool   // a probe is out
+	sends   []load // while cold: own submissions of the counted span
 }
 
 // ringPoints: at 64 points the arcs' spread is about an eighth, near what a score of appliances needs; the
@@ -276,7 +284,7 @@
 	case sent:
 		a.out++
 		if a.pace() < 1 {
-			a.sends = append(a.sends, a.now)
+			a.sends = append(a.sends, load{a.now, n.work})
 		}
 	case told:
 		a.out = max(0, a.out-1)
@@ -291,7 +299,7 @@
 			}
 		}
 	case beat:
-		for len(a.sends) > 0 && a.sends[0] <= a.now-a.cold.After {
+		for len(a.sends) > 0 && a.sends[0].at <= a.now-a.cold.After {
 			a.sends = a.sends[1:]
 		}
 		if a.probes && a.aside > 0 && a.now >= a.aside && !a.asking && a.ready() {
@@ -442,18 +450,7 @@
 			t.begun = true
 		}
 	case Staged:
-		before := d.cap
-		if d.hear(n); d.cap < before && n.Build == d.build {
-			// A lower cap: its count of submissions starts anew.
-			for i, l := range d.taken {
-				d.taken[i] = nil
-				for _, k := range l {
-					if k.build != n.Build {
-						d.taken[i] = append(d.taken[i], k)
-					}
-				}
-			}
-		}
+		d.hear(n) // a lower cap binds at once, and what was sent before still counts: never too much
 	case beat:
 		held := d.held
 		d.held = nil
@@ -508,10 +505,13 @@
 	return 0
 }
 
+// windowEdge: two beats longer than the told window, so that no rounding of its ends matters.
+const windowEdge = 2 * beatEvery
+
 func (d *desk) tally(product, build int) {
 	i := d.slot(product)
 	l := d.taken[i]
-	for len(l) > 0 && l[0].at <= d.now-d.count.Window {
+	for len(l) > 0 && l[0].at < d.now-d.count.Window-windowEdge {
 		l = l[1:]
 	}
 	d.taken[i] = append(l, tick{d.now, build})
@@ -521,7 +521,7 @@
 func (d *desk) room(product, build int, cap float64) bool {
 	balance := 1.0
 	l := d.taken[d.slot(product)]
-	for i := len(l) - 1; i >= 0 && l[i].at > d.now-d.count.Window; i-- {
+	for i := len(l) - 1; i >= 0; i-- {
 		switch l[i].build {
 		case build:
 			balance++
@@ -532,7 +532,7 @@
 			return false
 		}
 	}
-	return cap > 0 && balance <= d.count.Free+float64(len(l))
+	return cap > 0
 }
 
 // may holds the five rules; every submission passes it.
@@ -556,8 +556,11 @@
 	}
 	// Rule 4: each agent keeps to its part of what a cold appliance can take before it falls over.
 	if pace := a.pace(); pace < 1 {
-		budget := d.cold.Multiple * pace * float64(d.cold.After) / max(d.usual, float64(20*ms)) / float64(d.agents)
-		if float64(len(a.sends)+1) > max(1, budget) {
+		work := d.work(t)
+		for _, w := range a.sends {
+			work += w.work
+		}
+		if work > coldShare*d.cold.Multiple*pace*float64(d.cold.After)/float64(d.agents) && len(a.sends) > 0 {
 			return false
 		}
 	}
@@ -570,6 +573,17 @@
 	return a.Build >= d.oneWay(t)
 }
 
+// coldShare of the told multiple, for what the estimates of work miss.
+const coldShare = 0.5
+
+// work is what a txn is expected to need: as told, or the usual time of an answer, which is no less.
+func (d *desk) work(t *txn) float64 {
+	if t.Work > 0 {
+		return float64(t.Work)
+	}
+	return d.usual
+}
+
 // oneWay is the lowest build that the txn's key may still go to.
 func (d *desk) oneWay(t *txn) int {
 	if b := d.bound[t.Key]; d.plan.OneWay && t.Key != 0 && !d.spoiled[b] {
@@ -587,21 +601,8 @@
 	if _, _, bound := d.capped(a.Build); bound {
 		d.tally(t.Product, a.Build)
 	}
-	a.put(sent{})
-	d.give(Submit{ID: t.ID, Appliance: a.ID, Patience: d.patience(t)})
-}
-
-// firstWait is the part of the time left to its SLA that a txn waits where it can still go elsewhere: later
-// there is no time for a second go, earlier sends heavy txns twice.
-const firstWait = 0.6
-
-func (d *desk) patience(t *txn) Micros {
-	p := &d.products[t.Product]
-	left := t.at + p.SLA - d.now
-	if p.Effect == OnceOnly || t.seq >= d.hand.MaxSubmissions || left <= 0 {
-		return 0
-	}
-	return min(max(Micros(firstWait*float64(left)), 50*ms), t.Expires-d.now)
+	a.put(sent{d.work(t)})
+	d.give(Submit{ID: t.ID, Appliance: a.ID})
 }
 
 const (
