--- a/brain/brain.go
+++ b/brain/brain.go
@@ -221,7 +221,9 @@
 	probes  bool
 	cold    ColdStart
 	out     int    // own submissions that have no outcome yet
+	heard   Micros // its last answer
 	strikes int    // silent outcomes in a row
+	full    Micros // turned work away: left alone until then
 	aside   Micros // set aside until then
 	asking  bool   // a probe is out
 	sends   []load // while cold: own submissions of the counted span
@@ -261,14 +263,18 @@
 	return w * a.pace()
 }
 
-func (a *appliance) ready() bool   { return a.State == Ready }
-func (a *appliance) healthy() bool { return a.ready() && a.now >= a.aside && !a.asking }
+func (a *appliance) ready() bool { return a.State == Ready }
+func (a *appliance) healthy() bool {
+	return a.ready() && a.now >= a.aside && !a.asking && a.now >= a.full
+}
 
 const (
 	// asideFor and asideSpread: the users' practice of a fixed time with a random part; a second is the
 	// order of a restart's first signs, and short against the list's lag.
 	asideFor    = 1 * second
 	asideSpread = 500 * ms
+	// fullFor: a full appliance works off a txn or two in this time; asked again sooner it only says no.
+	fullFor = 300 * ms
 	// silentStrikes: one time-out may be a heavy txn, two in a row with no answer between are the appliance.
 	silentStrikes = 2
 )
@@ -290,11 +296,16 @@
 		a.out = max(0, a.out-1)
 		switch n.Outcome {
 		case OK, Errored:
-			a.strikes = 0
+			a.strikes, a.heard = 0, a.now
+		case TurnedOff:
+			a.full = a.now + fullFor
 		case NoConnect, Broken:
 			a.setAside()
 		case TimedOut:
-			if a.strikes++; a.strikes >= silentStrikes {
+			if a.heard < a.now-n.Took {
+				a.strikes++
+			}
+			if a.strikes >= silentStrikes {
 				a.setAside()
 			}
 		}
@@ -602,7 +613,8 @@
 		d.tally(t.Product, a.Build)
 	}
 	a.put(sent{d.work(t)})
-	d.give(Submit{ID: t.ID, Appliance: a.ID})
+	// Past its SLA time an answer is worth little and its work is in the way of others' in time.
+	d.give(Submit{ID: t.ID, Appliance: a.ID, Patience: max(beatEvery, min(t.at+d.products[t.Product].SLA, t.Expires)-d.now)})
 }
 
 const (
@@ -668,6 +680,10 @@
 	if d.txns[t.ID] != t || t.on != nil {
 		return
 	}
+	if t.seq > 0 && d.now >= t.at+d.products[t.Product].SLA {
+		d.answer(t) // too late to go again: more work for no worth
+		return
+	}
 	top := d.top()
 	order := []int{earlier, trial, leaving}
 	if t.fraction < d.slice(top) {
