--- a/brain/brain.go
+++ b/brain/brain.go
@@ -613,8 +613,7 @@
 		d.tally(t.Product, a.Build)
 	}
 	a.put(sent{d.work(t)})
-	// Past its SLA time an answer is worth little and its work is in the way of others' in time.
-	d.give(Submit{ID: t.ID, Appliance: a.ID, Patience: max(beatEvery, min(t.at+d.products[t.Product].SLA, t.Expires)-d.now)})
+	d.give(Submit{ID: t.ID, Appliance: a.ID})
 }
 
 const (
