--- a/brain/brain.go
+++ b/brain/brain.go
@@ -33,7 +33,7 @@
 		Ended
 		by      *appliance
 		product int
-		late    bool
+		sla     Micros
 	}
 	// wrong is a client's report on an answer of this appliance.
 	wrong struct{ by *appliance }
@@ -188,7 +188,7 @@
 		for _, row := range n.Rows {
 			a := f.byID[row.ID]
 			if a == nil {
-				a = &appliance{line: f.line, Row: Row{ID: row.ID}, probes: f.probes, cold: f.cold}
+				a = &appliance{line: f.line, Row: Row{ID: row.ID}, probes: f.probes, cold: f.cold, limit: firstLimit}
 				a.lay()
 				f.byID[row.ID], f.all = a, append(f.all, a)
 			}
@@ -220,8 +220,10 @@
 	points  []uint64
 	probes  bool
 	cold    ColdStart
-	out     int    // own submissions that have no outcome yet
-	heard   Micros // its last answer
+	out     int     // own submissions that have no outcome yet
+	heard   Micros  // its last answer
+	limit   float64 // own submissions that it may hold
+	cutAt   Micros
 	strikes int    // silent outcomes in a row
 	full    Micros // turned work away: left alone until then
 	aside   Micros // set aside until then
@@ -265,7 +267,7 @@
 
 func (a *appliance) ready() bool { return a.State == Ready }
 func (a *appliance) healthy() bool {
-	return a.ready() && a.now >= a.aside && !a.asking && a.now >= a.full
+	return a.ready() && a.now >= a.aside && !a.asking && a.now >= a.full && float64(a.out)+1 <= a.limit
 }
 
 const (
@@ -284,7 +286,7 @@
 	case Row:
 		if n.Started != a.Started || n.Build != a.Build || n.State == Gone {
 			// Another process under the old id: what was known of it is void.
-			a.strikes, a.aside, a.asking, a.sends = 0, 0, false, nil
+			a.strikes, a.aside, a.asking, a.sends, a.limit = 0, 0, false, nil, firstLimit
 		}
 		a.Row = n
 	case sent:
@@ -294,6 +296,7 @@
 		}
 	case told:
 		a.out = max(0, a.out-1)
+		a.learn(n)
 		switch n.Outcome {
 		case OK, Errored:
 			a.strikes, a.heard = 0, a.now
@@ -328,6 +331,34 @@
 	}
 }
 
+const (
+	// firstLimit: two in work and two waiting at an appliance not known yet.
+	firstLimit = 4
+	// quickPart and latePart of the SLA time: below the one there is room, above the other too much is open.
+	quickPart, latePart = 0.5, 0.8
+	// limitCut, at most once in cutEvery: a few late answers from one jam are one sign, not several.
+	limitCut = 0.7
+	cutEvery = 250 * ms
+)
+
+// learn keeps the limit of open submissions: up by one a round of quick answers, down by a part on late ones.
+// It guards against any appliance that answers too slowly, for whatever reason (slowed, frozen, overloaded,
+// cold, a heavy build): txns then wait at the agent, where they can still go elsewhere. It may harm where
+// a product's own work nears its SLA time.
+func (a *appliance) learn(n told) {
+	sla := float64(n.sla)
+	switch {
+	case n.Outcome == OK && float64(n.Took) < quickPart*sla:
+		if float64(a.out+1) >= a.limit/2 {
+			a.limit += 1 / a.limit
+		}
+	case n.Outcome == TurnedOff, n.Outcome == TimedOut, n.Outcome == OK && float64(n.Took) > latePart*sla:
+		if sla > 0 && a.now >= a.cutAt+cutEvery {
+			a.limit, a.cutAt = max(1, a.limit*limitCut), a.now
+		}
+	}
+}
+
 func (a *appliance) setAside() {
 	a.strikes = 0
 	a.aside = a.now + asideFor + Micros(a.chance.Int63n(int64(asideSpread)))
@@ -463,6 +494,9 @@
 	case Staged:
 		d.hear(n) // a lower cap binds at once, and what was sent before still counts: never too much
 	case beat:
+		sort.SliceStable(d.held, func(i, j int) bool {
+			return d.products[d.held[i].Product].Revenue > d.products[d.held[j].Product].Revenue
+		})
 		held := d.held
 		d.held = nil
 		for _, t := range held {
@@ -480,7 +514,7 @@
 	}
 	k := told{Ended: n, by: a, product: -1}
 	if t != nil {
-		k.product, k.late = t.Product, d.now > t.at+d.products[t.Product].SLA
+		k.product, k.sla = t.Product, d.products[t.Product].SLA
 	}
 	a.put(k)
 	d.judge.put(k)
@@ -701,10 +735,13 @@
 	d.held = append(d.held, t)
 }
 
+// holdPart of its SLA time is the longest that a txn is held: the rest is for its answer.
+const holdPart = 0.5
+
 // hopeless: no appliance may take the txn now and none will in time.
 func (d *desk) hopeless(t *txn) bool {
 	p := &d.products[t.Product]
-	return t.seq >= d.hand.MaxSubmissions || d.now >= t.Expires-2*beatEvery || d.now >= t.at+p.SLA ||
+	return t.seq >= d.hand.MaxSubmissions || d.now >= t.Expires-2*beatEvery || d.now >= t.at+Micros(holdPart*float64(p.SLA)) ||
 		t.ran != nil && (p.Effect == OnceOnly || p.Effect == Referenced && d.now >= t.ranAt+p.Memory)
 }
 
