--- a/brain/brain.go
+++ b/brain/brain.go
@@ -500,10 +500,10 @@
 		held := d.held
 		d.held = nil
 		for _, t := range held {
-			if d.txns[t.ID] == t {
-				d.route(t)
-			}
+			d.put(t) // one note each: appliances read their mail in between, or all would go to one
 		}
+	case *txn:
+		d.route(n)
 	}
 }
 
