--- a/brain/brain.go
+++ b/brain/brain.go
@@ -469,7 +469,7 @@
 	txns     map[uint64]*txn
 	held     []*txn
 	bound    map[uint64]int // one-way: the build that answered a key
-	usual    float64        // moving mean of answer times, µs
+	usual    float64        // moving mean of told work, or else of answer times
 }
 
 func (d *desk) take(n note) {
@@ -481,6 +481,9 @@
 		}
 		t := &txn{Taken: n, at: d.now, spot: mix(h ^ ringSalt), fraction: float64(mix(h^sliceSalt)>>11) / (1 << 53)}
 		d.txns[n.ID] = t
+		if n.Work > 0 {
+			d.usual += (float64(n.Work) - d.usual) * usualFade
+		}
 		d.tally(n.Product, takenMark)
 		d.route(t)
 	case Ended:
@@ -518,8 +521,8 @@
 	}
 	a.put(k)
 	d.judge.put(k)
-	if n.Outcome == OK {
-		d.usual += (float64(n.Took) - d.usual) * 0.02
+	if n.Outcome == OK && (t == nil || t.Work == 0) {
+		d.usual += (float64(n.Took) - d.usual) * usualFade
 	}
 	if t == nil {
 		return
@@ -621,13 +624,12 @@
 // coldShare of the told multiple, for what the estimates of work miss.
 const coldShare = 0.5
 
-// work is what a txn is expected to need: as told, or the usual time of an answer, which is no less.
-func (d *desk) work(t *txn) float64 {
-	if t.Work > 0 {
-		return float64(t.Work)
-	}
-	return d.usual
-}
+// usualFade: the usual work looks back over some fifty txns.
+const usualFade = 0.02
+
+// work is what a txn is expected to need, and never under the usual: hints are rough, and a budget that only
+// small ones pass would be filled with those that are not as small as told.
+func (d *desk) work(t *txn) float64 { return max(float64(t.Work), d.usual) }
 
 // oneWay is the lowest build that the txn's key may still go to.
 func (d *desk) oneWay(t *txn) int {
