--- a/brain/brain.go
+++ b/brain/brain.go
@@ -848,7 +848,9 @@
 			j.since = max(j.now-n.Age, j.began)
 		}
 	case told:
-		if n.Outcome == OK || n.Outcome == Errored || n.Outcome == TimedOut {
+		// A time-out says that something is overloaded, not what: late in a release there is no earlier
+		// build left to compare with, and good builds were sent back for it.
+		if n.Outcome == OK || n.Outcome == Errored {
 			j.weigh(n.by, n.Outcome != OK)
 		}
 	case beat:
