--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,6 +37,8 @@
 	}
 	// wrong is a client's report on an answer of this appliance.
 	wrong struct{ by *appliance }
+	// dragged tells an appliance how long an answer took against before.
+	dragged struct{ times float64 }
 )
 
 type load struct {
@@ -188,7 +190,7 @@
 		for _, row := range n.Rows {
 			a := f.byID[row.ID]
 			if a == nil {
-				a = &appliance{line: f.line, Row: Row{ID: row.ID}, probes: f.probes, cold: f.cold, limit: firstLimit}
+				a = &appliance{line: f.line, Row: Row{ID: row.ID}, probes: f.probes, cold: f.cold, limit: firstLimit, drag: 1}
 				a.lay()
 				f.byID[row.ID], f.all = a, append(f.all, a)
 			}
@@ -224,11 +226,12 @@
 	heard   Micros  // its last answer
 	limit   float64 // own submissions that it may hold
 	cutAt   Micros
-	strikes int    // silent outcomes in a row
-	full    Micros // turned work away: left alone until then
-	aside   Micros // set aside until then
-	asking  bool   // a probe is out
-	sends   []load // while cold: own submissions of the counted span
+	drag    float64 // answer times against those before the release, moving
+	strikes int     // silent outcomes in a row
+	full    Micros  // turned work away: left alone until then
+	aside   Micros  // set aside until then
+	asking  bool    // a probe is out
+	sends   []load  // while cold: own submissions of the counted span
 }
 
 // ringPoints: at 64 points the arcs' spread is about an eighth, near what a score of appliances needs; the
@@ -286,7 +289,7 @@
 	case Row:
 		if n.Started != a.Started || n.Build != a.Build || n.State == Gone {
 			// Another process under the old id: what was known of it is void.
-			a.strikes, a.aside, a.asking, a.sends, a.limit = 0, 0, false, nil, firstLimit
+			a.strikes, a.aside, a.asking, a.sends, a.limit, a.drag = 0, 0, false, nil, firstLimit, 1
 		}
 		a.Row = n
 	case sent:
@@ -312,6 +315,8 @@
 				a.setAside()
 			}
 		}
+	case dragged:
+		a.drag += (n.times - a.drag) * dragFade
 	case beat:
 		for len(a.sends) > 0 && a.sends[0].at <= a.now-a.cold.After {
 			a.sends = a.sends[1:]
@@ -813,6 +818,8 @@
 	cast      Verdict
 	castAt    Micros
 	quiet     Micros
+	calm      []float64 // answer times before the release, by product
+	slowFrom  Micros    // the fleet drags since
 }
 
 const (
@@ -853,7 +860,11 @@
 		if n.Outcome == OK || n.Outcome == Errored {
 			j.weigh(n.by, n.Outcome != OK)
 		}
+		if n.product >= 0 && (n.Outcome == OK || n.Outcome == TimedOut) {
+			j.time(n)
+		}
 	case beat:
+		j.feel()
 	}
 	j.vote()
 }
@@ -886,6 +897,54 @@
 	j.ratio = max(j.ratio, -crossing-1)
 }
 
+const (
+	// dragFade: an appliance's last five or six answers.
+	dragFade = 0.15
+	// calmFade: the calm's answer times, from some fifty answers of the product.
+	calmFade = 0.02
+	// dragMost bounds one answer's say.
+	dragMost = 8.0
+	// dragTimes for dragLasts: jams of traffic pass in less or touch less than half the fleet.
+	dragTimes = 2.5
+	dragLasts = 5 * second
+	// settleAfter its release, a build counts as part of the calm.
+	settleAfter = 15 * second
+)
+
+// time compares an answer with those before the release, product by product.
+func (j *judge) time(n told) {
+	p := n.product
+	for len(j.calm) <= p {
+		j.calm = append(j.calm, 0)
+	}
+	if j.calm[p] == 0 {
+		j.calm[p] = float64(n.Took)
+	}
+	if j.build == 0 || j.phase != OnTrial && j.now-j.since > settleAfter && j.slowFrom == 0 {
+		j.calm[p] += (float64(n.Took) - j.calm[p]) * calmFade
+	}
+	n.by.put(dragged{min(dragMost, float64(n.Took)/max(1, j.calm[p]))})
+}
+
+// feel guards against a release that slows old and new alike, where no comparison of builds can show it: the
+// median appliance, so more than half the fleet, answers far slower than before the release, and goes on so.
+// It should catch any harm a release does to what all share. It may send a good build back in a jam of the
+// whole fleet that begins during a release and lasts longer than dragLasts.
+func (j *judge) feel() {
+	var drags []float64
+	for _, a := range j.fleet.all {
+		if a.ready() && a.pace() >= 1 {
+			drags = append(drags, a.drag)
+		}
+	}
+	sort.Float64s(drags)
+	if len(drags) == 0 || drags[len(drags)/2] < dragTimes {
+		j.slowFrom = 0
+	} else if j.slowFrom == 0 {
+		j.slowFrom = j.now
+	}
+}
+
 func (j *judge) verdict() Verdict {
 	if j.build == 0 || j.phase == GoingBack || j.phase == Withdrawn {
 		return NoVote
@@ -893,6 +952,9 @@
 	if j.seen >= leastSeen && j.ratio >= crossing {
 		return Back
 	}
+	if j.slowFrom > 0 && j.now-j.slowFrom >= dragLasts && (j.phase == OnTrial || j.now-j.since < settleAfter) {
+		return Back
+	}
 	if j.polling.Ballot == BallotTimer {
 		if j.phase == OnTrial && j.ratio > holdAbove {
 			return Hold
