--- a/brain/brain.go
+++ b/brain/brain.go
@@ -809,17 +809,19 @@
 	inbox
 	*line
 	wave
-	fleet     *fleet
-	polling   Polling
-	since     Micros // the stage's start, or this agent's if later
-	ratio     float64
-	seen      int
-	good, bad float64 // the earlier build's outcomes, fading
-	cast      Verdict
-	castAt    Micros
-	quiet     Micros
-	calm      []float64 // answer times before the release, by product
-	slowFrom  Micros    // the fleet drags since
+	fleet                *fleet
+	polling              Polling
+	since                Micros // the stage's start, or this agent's if later
+	ratio                float64
+	seen                 int
+	good, bad            float64 // the earlier build's outcomes, fading
+	cast                 Verdict
+	castAt               Micros
+	quiet                Micros
+	calm                 []float64 // answer times before the release, by product
+	done, rate, calmRate float64   // txns completed: since the last beat, a µs now, a µs in the calm
+	feltAt               Micros
+	slowFrom             Micros // the fleet drags since
 }
 
 const (
@@ -860,6 +862,9 @@
 		if n.Outcome == OK || n.Outcome == Errored {
 			j.weigh(n.by, n.Outcome != OK)
 		}
+		if n.Outcome == OK {
+			j.done++
+		}
 		if n.product >= 0 && (n.Outcome == OK || n.Outcome == TimedOut) {
 			j.time(n)
 		}
@@ -906,7 +911,14 @@
 	dragMost = 8.0
 	// dragTimes for dragLasts: jams of traffic pass in less or touch less than half the fleet.
 	dragTimes = 2.5
-	dragLasts = 5 * second
+	dragLasts = 10 * second
+	// dragHolds back the vote to go on as soon as this: a delay is cheap.
+	dragHolds = 1 * second
+	// dragDone: fewer txns completed than this part of the calm's, or it is only more traffic.
+	dragDone = 0.8
+	// doneSpan and calmSpan: completions are averaged over these times.
+	doneSpan = 3 * second
+	calmSpan = 10 * second
 	// settleAfter its release, a build counts as part of the calm.
 	settleAfter = 15 * second
 )
@@ -920,14 +932,19 @@
 	if j.calm[p] == 0 {
 		j.calm[p] = float64(n.Took)
 	}
-	if j.build == 0 || j.phase != OnTrial && j.now-j.since > settleAfter && j.slowFrom == 0 {
+	if j.quietTime() {
 		j.calm[p] += (float64(n.Took) - j.calm[p]) * calmFade
 	}
 	n.by.put(dragged{min(dragMost, float64(n.Took)/max(1, j.calm[p]))})
 }
 
+// quietTime: no release is in hand and nothing drags.
+func (j *judge) quietTime() bool {
+	return j.build == 0 || j.phase != OnTrial && j.now-j.since > settleAfter && j.slowFrom == 0
+}
+
 // feel guards against a release that slows old and new alike, where no comparison of builds can show it: the
-// median appliance, so more than half the fleet, answers far slower than before the release, and goes on so.
+// median appliance, so more than half the fleet, answers far slower than before the release, completes less, and goes on so.
 // It should catch any harm a release does to what all share. It may send a good build back in a jam of the
 // whole fleet that begins during a release and lasts longer than dragLasts.
 func (j *judge) feel() {
@@ -938,7 +955,14 @@
 		}
 	}
 	sort.Float64s(drags)
-	if len(drags) == 0 || drags[len(drags)/2] < dragTimes {
+	age, dt := float64(j.now-j.began)+1, float64(j.now-j.feltAt)
+	rate := j.done / max(1, dt)
+	j.done, j.feltAt = 0, j.now
+	j.rate += (rate - j.rate) * min(1, max(dt/float64(doneSpan), dt/age))
+	if j.quietTime() {
+		j.calmRate += (rate - j.calmRate) * min(1, max(dt/float64(calmSpan), dt/age))
+	}
+	if len(drags) == 0 || drags[len(drags)/2] < dragTimes || j.rate > dragDone*j.calmRate {
 		j.slowFrom = 0
 	} else if j.slowFrom == 0 {
 		j.slowFrom = j.now
@@ -964,6 +988,9 @@
 	if j.phase != OnTrial {
 		return NoVote
 	}
+	if j.slowFrom > 0 && j.now-j.slowFrom >= dragHolds {
+		return NoVote
+	}
 	newest := Micros(math.MinInt64 / 2)
 	for _, a := range j.fleet.all {
 		if a.ready() && a.Build == j.build {
