--- a/brain/brain.go
+++ b/brain/brain.go
@@ -910,7 +910,7 @@
 	// dragMost bounds one answer's say.
 	dragMost = 8.0
 	// dragTimes for dragLasts: jams of traffic pass in less or touch less than half the fleet.
-	dragTimes = 2.5
+	dragTimes = 1.6
 	dragLasts = 10 * second
 	// dragHolds back the vote to go on as soon as this: a delay is cheap.
 	dragHolds = 1 * second
