--- a/brain/brain.go
+++ b/brain/brain.go
@@ -818,7 +818,7 @@
 	cast                 Verdict
 	castAt               Micros
 	quiet                Micros
-	calm                 []float64 // answer times before the release, by product
+	calm, calmSeen       []float64 // answer times before the release, by product
 	done, rate, calmRate float64   // txns completed: since the last beat, a µs now, a µs in the calm
 	feltAt               Micros
 	slowFrom             Micros // the fleet drags since
@@ -927,22 +927,25 @@
 func (j *judge) time(n told) {
 	p := n.product
 	for len(j.calm) <= p {
-		j.calm = append(j.calm, 0)
-	}
-	if j.calm[p] == 0 {
-		j.calm[p] = float64(n.Took)
+		j.calm, j.calmSeen = append(j.calm, 0), append(j.calmSeen, 0)
 	}
 	if j.quietTime() {
-		j.calm[p] += (float64(n.Took) - j.calm[p]) * calmFade
+		j.calmSeen[p]++
+		j.calm[p] += (float64(n.Took) - j.calm[p]) * max(calmFade, 1/j.calmSeen[p])
+	}
+	if j.calmSeen[p] >= leastSeen {
+		n.by.put(dragged{min(dragMost, float64(n.Took)/j.calm[p])})
 	}
-	n.by.put(dragged{min(dragMost, float64(n.Took)/max(1, j.calm[p]))})
 }
 
 // quietTime: no release is in hand and nothing drags.
 func (j *judge) quietTime() bool {
-	return j.build == 0 || j.phase != OnTrial && j.now-j.since > settleAfter && j.slowFrom == 0
+	return j.build == 0 || j.phase != OnTrial && j.settled() && j.slowFrom == 0
 }
 
+// settled: the release has been out for a while, or since before this agent came.
+func (j *judge) settled() bool { return j.since <= j.began || j.now-j.since > settleAfter }
+
 // feel guards against a release that slows old and new alike, where no comparison of builds can show it: the
 // median appliance, so more than half the fleet, answers far slower than before the release, completes less, and goes on so.
 // It should catch any harm a release does to what all share. It may send a good build back in a jam of the
@@ -976,7 +979,7 @@
 	if j.seen >= leastSeen && j.ratio >= crossing {
 		return Back
 	}
-	if j.slowFrom > 0 && j.now-j.slowFrom >= dragLasts && (j.phase == OnTrial || j.now-j.since < settleAfter) {
+	if j.slowFrom > 0 && j.now-j.slowFrom >= dragLasts && (j.phase == OnTrial || !j.settled()) {
 		return Back
 	}
 	if j.polling.Ballot == BallotTimer {
