--- /dev/null
+++ b/brain/loop.go
@@ -0,0 +1,50 @@
+// The loop that empties the inboxes, and other machinery that decides nothing.
+
+package brain
+
+type inbox struct{ notes []note }
+
+func (b *inbox) put(n note) { b.notes = append(b.notes, n) }
+
+func (b *inbox) next() (n note) {
+	if len(b.notes) > 0 {
+		n, b.notes = b.notes[0], b.notes[1:]
+	}
+	return n
+}
+
+type part interface {
+	put(note)
+	next() note
+	take(note)
+}
+
+func (l *line) give(o Order) { l.out = append(l.out, o) }
+
+// upTo is a random span below the given one.
+func (l *line) upTo(span Micros) Micros { return Micros(l.chance.Int63n(int64(span))) }
+
+// step empties one note. Appliances come first, so that no pick reads a record with mail waiting.
+func (g *agent) step() bool {
+	for _, a := range g.fleet.all {
+		if n := a.next(); n != nil {
+			a.take(n)
+			return true
+		}
+	}
+	for _, p := range g.parts {
+		if n := p.next(); n != nil {
+			p.take(n)
+			return true
+		}
+	}
+	return false
+}
+
+// mix spreads a number over 64 bits (the finaliser of splitmix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/brain/record.go
@@ -0,0 +1,151 @@
+// The parts' records and the notes that pass between them: types only.
+
+package brain
+
+import "math/rand"
+
+// Parts talk by notes put into inboxes, which Handle's loop empties. Events serve as notes; the others are these.
+type (
+	note any
+	beat struct{}                // the tick by which parts look at the time
+	sent struct{ work float64 }  // a submission is on its way to this appliance
+	drag struct{ times float64 } // how long an answer took against those before the release
+	told struct {                // an outcome, with the record of the appliance that gave it
+		Ended
+		by      *appliance
+		product int // -1: the txn is over and forgotten
+		sla     Micros
+	}
+)
+
+type load struct {
+	at   Micros
+	work float64
+}
+
+// line is what the loop lends each part: time, chance and the outgoing orders.
+type line struct {
+	now, began Micros
+	chance     *rand.Rand
+	out        []Order
+}
+
+type agent struct {
+	*line
+	fleet  *fleet
+	desk   *desk
+	judge  *judge
+	lister *lister
+	parts  []part
+}
+
+// fleet keeps the records, one an appliance, found by id.
+type fleet struct {
+	inbox
+	*line
+	byID   map[uint32]*appliance
+	all    []*appliance
+	probes bool
+	cold   ColdStart
+}
+
+// appliance is one record and the small actor that keeps it.
+type appliance struct {
+	inbox
+	*line
+	Row
+	listed bool
+	points []uint64
+	probes bool
+	cold   ColdStart
+	out    int    // own submissions that have no outcome yet
+	sends  []load // own submissions while it was cold
+	health
+}
+
+// health is what is known of one process; a new one under the old id starts afresh.
+type health struct {
+	limit       float64 // own submissions that it may hold
+	cutAt       Micros
+	drag        float64 // moving mean of drag notes
+	errs        float64 // moving share of errors
+	strikes     int     // silent outcomes in a row
+	heard       Micros  // its last answer
+	full, aside Micros  // left alone until then
+	asking      bool    // a probe is out
+}
+
+// lister keeps the agent's subscription where the list must be asked.
+type lister struct {
+	inbox
+	*line
+	ask   bool
+	due   Micros // -1: a call is out or the watch stands
+	fails int
+}
+
+// wave is what a part knows of the release in hand.
+type wave struct {
+	plan         LaunchPlan
+	build, stage int
+	phase        Phase
+	cap          float64
+	spoiled      map[int]bool // builds that went back
+}
+
+type txn struct {
+	Taken
+	at, sentAt Micros
+	fraction   float64
+	spot       uint64
+	on         *appliance
+	seq        int
+	ran        *Row // where it may have run first
+	ranAt      Micros
+	tried      []*appliance
+	begun      bool
+}
+
+// entry of the exposure ledger: a submission at a build, or a txn taken.
+type entry struct {
+	at    Micros
+	build int
+}
+
+// desk routes txns and answers them.
+type desk struct {
+	inbox
+	*line
+	wave
+	fleet    *fleet
+	judge    *judge
+	post     Station
+	products []Product
+	hand     Handover
+	cold     ColdStart
+	count    Exposure
+	awayCost float64 // how much longer the way to another zone's point counts
+	ledger   [][]entry
+	txns     map[uint64]*txn
+	held     []*txn
+	bound    map[uint64]int // one-way: the build that answered a key
+	usual    float64        // moving mean of told work, or else of answer times
+}
+
+// judge weighs the build on trial and votes.
+type judge struct {
+	inbox
+	*line
+	wave
+	fleet                *fleet
+	polling              Polling
+	since                Micros // the stage's start, or this agent's if later
+	ratio                float64
+	seen                 int
+	good, bad            float64 // the earlier build's outcomes, fading
+	cast                 Verdict
+	castAt, quiet        Micros
+	calm, calmSeen       []float64 // answer times before the release, by product
+	done, rate, calmRate float64   // txns completed: since the last beat, a µs now, a µs in the calm
+	feltAt, slowFrom     Micros    // the last beat; the fleet drags since (0: it does not)
+}
