--- a/brain/brain.go
+++ b/brain/brain.go
@@ -195,7 +195,7 @@
 	// firstLimit: two in work and two waiting at an appliance not known yet.
 	firstLimit = 4
 	// quickPart and latePart of the SLA time: below the one there is room, above the other too much is open.
-	quickPart, latePart = 0.35, 0.6
+	quickPart, latePart = 0.25, 0.45
 	// limitCut, at most once in cutEvery: a few late answers from one jam are one sign, not several.
 	limitCut, cutEvery = 0.7, 250 * ms
 )
