--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,6 +29,9 @@
 		post: st, products: products, hand: hand, cold: cold, count: count,
 		awayCost: 1 + awayPerFare*fares.CrossZone, ledger: make([][]entry, len(products)),
 		txns: map[uint64]*txn{}, bound: map[uint64]int{}}
+	if may.Advise {
+		g.desk.holdOff = hand.MaxHoldOff // a decline means a jam; nothing sooner would find it gone
+	}
 	for _, p := range products {
 		g.desk.usual = max(g.desk.usual, float64(p.SLA)/4) // until txns tell
 	}
@@ -578,7 +581,7 @@
 	delete(d.txns, t.ID)
 	if t.ran == nil || p.Effect == InquiryLike ||
 		p.Effect == Referenced && p.Group == ScopeAll && d.now < t.ranAt+p.Memory {
-		d.give(Decline{ID: t.ID})
+		d.give(Decline{ID: t.ID, HoldOff: d.holdOff})
 	} else {
 		d.give(Void{ID: t.ID})
 	}
--- a/brain/record.go
+++ b/brain/record.go
@@ -129,6 +129,7 @@
 	txns     map[uint64]*txn
 	held     []*txn
 	bound    map[uint64]int // one-way: the build that answered a key
+	holdOff  Micros         // what a decline tells the client
 	usual    float64        // moving mean of told work, or else of answer times
 }
 
