--- a/brain/brain.go
+++ b/brain/brain.go
@@ -222,9 +222,10 @@
 	case OK:
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs*(1-errFade)
 	case Errored:
-		// An appliance that fails fast looks idle and would draw ever more txns.
+		// An appliance that fails fast looks idle and would draw ever more txns. On trial it is the judge's
+		// matter, who would otherwise be short of evidence.
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs+(1-a.errs)*errFade
-		if a.errs > errMost {
+		if a.errs > errMost && !n.trial {
 			a.setAside()
 		}
 	case TurnedOff:
@@ -335,6 +336,7 @@
 		return
 	}
 	k := told{Ended: n, by: a, product: -1}
+	_, _, k.trial = d.capped(a.Build)
 	if t != nil {
 		k.product, k.sla = t.Product, d.products[t.Product].SLA
 	}
--- a/brain/record.go
+++ b/brain/record.go
@@ -13,7 +13,8 @@
 	told struct {                // an outcome, with the record of the appliance that gave it
 		Ended
 		by      *appliance
-		product int // -1: the txn is over and forgotten
+		product int  // -1: the txn is over and forgotten
+		trial   bool // its build is on trial
 		sla     Micros
 	}
 )
--- /dev/null
+++ b/brain/scenario_test.go
@@ -0,0 +1,274 @@
+package brain
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// The notation: see testdata/README. One runner plays every scenario, twice, and wants the same orders.
+func TestScenarios(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.txt")
+	if len(files) == 0 {
+		t.Fatal("no scenarios in testdata")
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			first, again := play(t, f), play(t, f)
+			if !reflect.DeepEqual(first.log, again.log) {
+				t.Error("the same events gave other orders")
+			}
+			if first.checks == 0 {
+				t.Error("the scenario expects nothing")
+			}
+		})
+	}
+}
+
+type stage struct {
+	t      *testing.T
+	at     string // file and line
+	r      Router
+	now    Micros
+	words  map[string]string
+	prods  []Product
+	builds map[uint32]int
+	on     map[uint64]uint32
+	wakes  []Micros
+	log    []Order // all orders
+	since  int     // where the last event's begin
+	checks int
+}
+
+var outcomeWords = map[string]Outcome{"ok": OK, "error": Errored, "full": TurnedOff, "timeout": TimedOut,
+	"noconnect": NoConnect, "broken": Broken, "cancelled": CalledOff, "moot": Moot}
+
+func play(t *testing.T, file string) *stage {
+	in, err := os.Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	s := &stage{t: t, words: map[string]string{}, builds: map[uint32]int{}, on: map[uint64]uint32{}}
+	sc := bufio.NewScanner(in)
+	for n := 1; sc.Scan(); n++ {
+		s.at = fmt.Sprintf("%s:%d", filepath.Base(file), n)
+		if w := strings.Fields(strings.SplitN(sc.Text(), "#", 2)[0]); len(w) > 0 {
+			s.line(w)
+		}
+	}
+	return s
+}
+
+func (s *stage) num(w string) float64 {
+	v, err := strconv.ParseFloat(w, 64)
+	if err != nil {
+		s.t.Fatalf("%s: %q is not a number", s.at, w)
+	}
+	return v
+}
+
+// opts splits key=value words; a bare word reads as 1.
+func opts(w []string) map[string]string {
+	m := map[string]string{}
+	for _, x := range w {
+		k, v, ok := strings.Cut(x, "=")
+		if !ok {
+			v = "1"
+		}
+		m[k] = v
+	}
+	return m
+}
+
+func (s *stage) val(m map[string]string, key string, def float64) float64 {
+	if v, ok := m[key]; ok {
+		return s.num(v)
+	}
+	return def
+}
+
+func (s *stage) line(w []string) {
+	switch w[0] {
+	case "agent":
+		s.words = opts(w[1:])
+	case "product":
+		m := opts(w[2:])
+		s.prods = append(s.prods, Product{Effect: map[string]Effect{"inquiry": InquiryLike, "referenced": Referenced,
+			"once": OnceOnly}[w[1]], Group: map[string]Scope{"": ScopeAll, "zone": ScopeZone, "cell": ScopeCell}[m["group"]],
+			Memory: Micros(s.val(m, "memory", 0)) * ms, SLA: Micros(s.val(m, "sla", 1000)) * ms,
+			Expiry: Micros(s.val(m, "expiry", 3000)) * ms, Revenue: s.val(m, "revenue", 1)})
+	case ">":
+		s.expect(w[1:])
+	default:
+		s.until(Micros(s.num(w[0])) * ms)
+		s.event(w[1], w[2:])
+	}
+}
+
+func (s *stage) open() {
+	m := s.words
+	var caps []float64
+	for _, c := range strings.Split(m["caps"], ",") {
+		caps = append(caps, s.num(c))
+	}
+	span := func(k string, def float64) Micros { return Micros(s.val(m, k, def)) * ms }
+	s.r = New(Station{Agents: int(s.val(m, "agents", 1)), Seed: 7}, s.prods,
+		LaunchPlan{Caps: caps, Guarded: int(s.val(m, "guarded", 0)), OneWay: m["oneway"] != "", InPlace: m["inplace"] != ""},
+		Polling{Ballot: map[string]Ballot{"": BallotAny, "share": BallotShare, "timer": BallotTimer}[m["ballot"]],
+			Stands: span("stands", 4000)},
+		Exposure{Window: span("window", 4000), Free: s.val(m, "free", 3), ByProduct: m["byproduct"] != ""},
+		ColdStart{From: s.val(m, "from", 0.3), Warm: span("warm", 5000), Multiple: s.val(m, "multiple", 2), After: span("after", 1500)},
+		Handover{MaxSubmissions: int(s.val(m, "max", 3))}, Licence{Ask: m["ask"] != "", Probe: m["probe"] != ""}, Fares{})
+}
+
+func (s *stage) give(ev Event) {
+	for _, o := range s.r.Handle(s.now, ev) {
+		switch o := o.(type) {
+		case Wake:
+			s.wakes = append(s.wakes, o.At)
+			continue
+		case Submit:
+			s.on[o.ID] = o.Appliance
+		}
+		s.log = append(s.log, o)
+	}
+}
+
+// until rings the bells that are due and sets the clock.
+func (s *stage) until(at Micros) {
+	if s.r == nil {
+		s.open()
+	}
+	s.since = len(s.log)
+	for len(s.wakes) > 0 && s.wakes[0] <= at {
+		s.now, s.wakes = max(s.now, s.wakes[0]), s.wakes[1:]
+		s.give(Bell{})
+	}
+	s.now = at
+}
+
+func (s *stage) event(what string, w []string) {
+	switch what {
+	case "wait":
+	case "list":
+		l := Listed{Full: w[0] == "full", Failed: w[0] == "failed"}
+		for _, x := range w[1:] { // id/build/zone, then - draining, ! gone, @ms started
+			x, started, _ := strings.Cut(x, "@")
+			row := Row{State: Ready, Weight: 1}
+			if started != "" {
+				row.Started = Micros(s.num(started)) * ms
+			}
+			if y := strings.TrimRight(x, "-!"); y != x {
+				row.State = map[string]State{"-": Draining, "!": Gone}[x[len(y):]]
+				x = y
+			}
+			p := strings.Split(x, "/")
+			row.ID, row.Build, row.Zone = uint32(s.num(p[0])), int(s.num(p[1])), int(s.num(p[2]))
+			s.builds[row.ID] = row.Build
+			l.Rows = append(l.Rows, row)
+		}
+		s.give(l)
+	case "stage": // build stage phase cap, then the outcome if it answers a vote
+		n := Staged{Build: int(s.num(w[0])), Stage: int(s.num(w[1])), Cap: s.num(w[3]), Phase: map[string]Phase{
+			"trial": OnTrial, "back": GoingBack, "released": Released, "withdrawn": Withdrawn}[w[2]]}
+		if n.Answer = len(w) > 4; n.Answer {
+			n.Outcome = outcomeWords[w[4]]
+		}
+		s.give(n)
+	case "txn":
+		s.txn(uint64(s.num(w[0])), opts(w[1:]))
+	case "txns": // first last
+		for id := s.num(w[0]); id <= s.num(w[1]); id++ {
+			s.txn(uint64(id), opts(w[2:]))
+		}
+	case "end":
+		s.end(uint64(s.num(w[0])), outcomeWords[w[1]], Micros(s.val(opts(w[2:]), "took", 50))*ms)
+	case "probed":
+		s.give(Probed{Appliance: uint32(s.num(w[0])), Outcome: outcomeWords[w[1]]})
+	case "flag":
+		s.give(Flagged{Appliance: uint32(s.num(w[0]))})
+	case "run": // until=ms every=ms fail=build or slow=build: traffic, each txn answered in time
+		m := opts(w)
+		since := len(s.log)
+		for id := uint64(1e6) + uint64(s.now); s.now < Micros(s.val(m, "until", 0))*ms; id++ {
+			s.txn(id, m)
+			for a, sent := s.on[id]; sent; a, sent = s.on[id] {
+				how := OK
+				if s.builds[a] == int(s.val(m, "fail", -1)) {
+					how = Errored
+				}
+				s.end(id, how, Micros(s.val(m, "took", 20))*ms)
+			}
+			s.until(s.now + Micros(s.val(m, "every", 20))*ms)
+		}
+		s.since = since
+	default:
+		s.t.Fatalf("%s: no event %q", s.at, what)
+	}
+}
+
+func (s *stage) txn(id uint64, m map[string]string) {
+	p := int(s.val(m, "product", 0))
+	s.give(Taken{ID: id, Product: p, Key: uint64(s.val(m, "key", 0)), Work: Micros(s.val(m, "work", 0)) * ms,
+		Expires: s.now + Micros(s.val(m, "for", float64(s.prods[p].Expiry/ms)))*ms})
+}
+
+func (s *stage) end(id uint64, how Outcome, took Micros) {
+	a := s.on[id]
+	delete(s.on, id)
+	s.give(Ended{ID: id, Appliance: a, Outcome: how, Took: took, Over: how == OK})
+}
+
+// expect checks the orders since the last event: "[no] ORDER [WORD=N ...]" or "ORDER at-most|at-least N ...".
+func (s *stage) expect(w []string) {
+	s.checks++
+	least, most := 1, 1<<30
+	if w[0] == "no" {
+		least, most, w = 0, 0, w[1:]
+	}
+	kind, m := w[0], opts(w[1:])
+	if m["at-most"] != "" {
+		least, most = 0, int(s.num(m["at-most"]))
+	}
+	least = int(s.val(m, "at-least", float64(least)))
+	n := 0
+	for _, o := range s.log[s.since:] {
+		got := map[string]float64{}
+		name := strings.ToLower(reflect.TypeOf(o).Name())
+		switch o := o.(type) {
+		case Submit:
+			got["id"], got["to"], got["build"] = float64(o.ID), float64(o.Appliance), float64(s.builds[o.Appliance])
+		case Decline:
+			got["id"] = float64(o.ID)
+		case Void:
+			got["id"] = float64(o.ID)
+		case Probe:
+			got["to"] = float64(o.Appliance)
+		case Vote:
+			name += []string{"-none", "-on", "-hold", "-back"}[o.Verdict]
+			got["build"], got["stage"] = float64(o.Build), float64(o.Stage)
+		}
+		hit := name == kind
+		for k, v := range m {
+			hit = hit && (strings.HasPrefix(k, "at-") || got[k] == s.num(v))
+		}
+		if hit {
+			n++
+		}
+	}
+	if n < least || n > most {
+		var all []string
+		for _, o := range s.log[s.since:] {
+			all = append(all, fmt.Sprintf("%T%v", o, o))
+		}
+		sort.Strings(all)
+		s.t.Errorf("%s: %s came %d times, want %d to %d, of %d orders: %.600s", s.at, strings.Join(w, " "), n, least, most, len(all), strings.Join(all, " "))
+	}
+}
