--- a/brain/brain.go
+++ b/brain/brain.go
@@ -144,7 +144,7 @@
 func (a *appliance) ready() bool { return a.State == Ready }
 
 func (a *appliance) healthy() bool {
-	return a.ready() && !a.asking && a.now >= max(a.aside, a.full) && float64(a.out)+1 <= a.limit
+	return !a.asking && a.now >= max(a.aside, a.full) && float64(a.out)+1 <= a.limit
 }
 
 const (
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -188,20 +188,28 @@
 		for id := s.num(w[0]); id <= s.num(w[1]); id++ {
 			s.txn(uint64(id), opts(w[2:]))
 		}
-	case "end":
-		s.end(uint64(s.num(w[0])), outcomeWords[w[1]], Micros(s.val(opts(w[2:]), "took", 50))*ms)
+	case "end": // ID or ID..LAST
+		first, last, many := strings.Cut(w[0], "..")
+		if !many {
+			last = first
+		}
+		for id := s.num(first); id <= s.num(last); id++ {
+			if _, sent := s.on[uint64(id)]; sent {
+				s.end(uint64(id), outcomeWords[w[1]], Micros(s.val(opts(w[2:]), "took", 50))*ms)
+			}
+		}
 	case "probed":
 		s.give(Probed{Appliance: uint32(s.num(w[0])), Outcome: outcomeWords[w[1]]})
 	case "flag":
 		s.give(Flagged{Appliance: uint32(s.num(w[0]))})
-	case "run": // until=ms every=ms fail=build or slow=build: traffic, each txn answered in time
+	case "run": // until=ms every=ms fail=build failat=id: traffic, each txn answered in time
 		m := opts(w)
 		since := len(s.log)
 		for id := uint64(1e6) + uint64(s.now); s.now < Micros(s.val(m, "until", 0))*ms; id++ {
 			s.txn(id, m)
 			for a, sent := s.on[id]; sent; a, sent = s.on[id] {
 				how := OK
-				if s.builds[a] == int(s.val(m, "fail", -1)) {
+				if s.builds[a] == int(s.val(m, "fail", -1)) || a == uint32(s.val(m, "failat", 0)) {
 					how = Errored
 				}
 				s.end(id, how, Micros(s.val(m, "took", 20))*ms)
