--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,115 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"strings"
+	"testing"
+)
+
+const env = `Me=0
+Balancers=2
+Zone=0
+Grades.count=1
+Grades.0.Repeat=read_like
+Grades.0.SloMs=100.0
+Grades.0.HardLimitMs=400.0
+Grades.0.Worth=1.0
+FamilyInfo.StageCap=0.1,1.0
+FamilyInfo.StageShare=0.1,1.0
+FamilyInfo.Shielded=0
+FamilyInfo.Swap=beside
+FamilyInfo.VoteStandsMs=4000.0
+FamilyInfo.CallTimeoutMs=800.0
+FamilyInfo.ApiRate=50.0
+FamilyInfo.VoteMode=any
+FamilyInfo.CountedOverMs=4000.0
+FamilyInfo.Allowance=2.0
+FamilyInfo.CountedBy=all
+Safety.ColdFrom=0.3
+Safety.ColdMs=5000.0
+Safety.TipMultiple=2.0
+Safety.TipAfterMs=1500.0
+Safety.DrainGraceMs=1000.0
+Safety.GraceToAnswerMs=20.0
+Limits.MaxAttempts=3
+Discovery=automatic
+A.Key.NotKnown=yes
+`
+
+// frame builds a batch of records, each given as its code and fields.
+func frame(records ...func(*writer)) []byte {
+	w := &writer{buf: make([]byte, 4)}
+	w.u32(uint32(len(records)))
+	w.ms(8256000)
+	for _, r := range records {
+		r(w)
+	}
+	order.PutUint32(w.buf, uint32(len(w.buf)))
+	return w.buf
+}
+
+func up(text string) func(*writer) {
+	return func(w *writer) {
+		w.record(0, 3, func() { w.u64(9); w.u32(uint32(len(text))); w.buf = append(w.buf, text...) })
+	}
+}
+
+func raw(s string) func(*writer) {
+	b, err := hex.DecodeString(strings.ReplaceAll(s, " ", ""))
+	if err != nil {
+		panic(err)
+	}
+	return func(w *writer) { w.buf = append(w.buf, b...) }
+}
+
+// Records of the protocol page's own examples.
+var (
+	list   = raw("0d 1e000000 00 01000000 074a1203 00002442 00 01 00 0000 0000000000000000 0000803f")
+	cached = raw("01 0c000000 0300 02 2900000000000000 00")
+	txn    = raw("02 29000000 0300 c4913a5d71660c00 0000 00000000 640ad2557c3bf091 0000000020e6c040 0000000000002840 01")
+	kill   = raw("09 02000000 0300")
+)
+
+func serve(t *testing.T, frames ...[]byte) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	err := NewHost().Serve(bytes.NewReader(bytes.Join(frames, nil)), &out)
+	return hex.EncodeToString(out.Bytes()), err
+}
+
+func TestServe(t *testing.T) {
+	news := raw("0a 15000000 0300 2900 00 02 00 6400 0000803f 0000000000607340")
+	got, err := serve(t, frame(), frame(list, up(env), cached, news, txn, kill, up(env)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasPrefix(got, "04000000") {
+		t.Errorf("an empty batch was answered %.8s", got)
+	}
+	if want := "0a160000000300c4913a5d71660c00"; !strings.Contains(got, want) {
+		t.Errorf("no transmit of the txn in %s", got)
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	whole := frame(up(env))
+	for name, c := range map[string]struct {
+		in   []byte
+		want string
+	}{
+		"cut short":       {whole[:len(whole)-5], "cut short"},
+		"length":          {[]byte{3, 0, 0, 0}, "batch length 3"},
+		"missing setting": {frame(up(strings.Replace(env, "Zone=0\n", "", 1))), "setting Zone is missing"},
+		"not a number":    {frame(up(strings.Replace(env, "SloMs=100.0", "SloMs=soon", 1))), `"soon", not a number`},
+		"unknown word":    {frame(up(strings.Replace(env, "=beside", "=above", 1))), `"above", a word not known`},
+		"short record":    {frame(up(env), raw("06 03000000 0300 4d")), "needs 8 more bytes"},
+		"no such list":    {frame(up(env), cached), "names list 0"},
+		"not started":     {frame(raw("06 0a000000 0300 4d00000000000000")), "instance 3 has not started"},
+	} {
+		_, err := serve(t, c.in)
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got %v, want an error with %q", name, err, c.want)
+		}
+	}
+}
