--- a/brain/brain.go
+++ b/brain/brain.go
@@ -22,7 +22,8 @@
 func New(st Station, products []Product, plan LaunchPlan, polling Polling, count Exposure, cold ColdStart,
 	hand Handover, may Licence, fares Fares) Router {
 	g := &agent{line: &line{chance: rand.New(rand.NewSource(st.Seed)), began: -1}}
-	g.fleet = &fleet{line: g.line, byID: map[uint32]*appliance{}, probes: may.Probe, cold: cold}
+	g.fleet = &fleet{line: g.line, byID: map[uint32]*appliance{}, probes: may.Probe, cold: cold,
+		least: 1 / float64(st.Agents)} // limits as low as one open submission an appliance, of all agents together
 	g.judge = &judge{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet,
 		polling: polling, calm: make([]float64, len(products)), calmSeen: make([]float64, len(products))}
 	g.desk = &desk{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet, judge: g.judge,
@@ -84,7 +85,7 @@
 		for _, row := range n.Rows {
 			a := f.byID[row.ID]
 			if a == nil {
-				a = &appliance{line: f.line, probes: f.probes, cold: f.cold, points: points(row.ID)}
+				a = &appliance{line: f.line, probes: f.probes, cold: f.cold, least: f.least, points: points(row.ID)}
 				f.byID[row.ID], f.all = a, append(f.all, a)
 			}
 			a.listed = true
@@ -144,7 +145,7 @@
 func (a *appliance) ready() bool { return a.State == Ready }
 
 func (a *appliance) healthy() bool {
-	return !a.asking && a.now >= max(a.aside, a.full) && float64(a.out)+1 <= a.limit
+	return !a.asking && a.now >= max(a.aside, a.full) && float64(a.out)+1 <= max(1, a.limit)
 }
 
 const (
@@ -212,10 +213,10 @@
 	took, sla := float64(n.Took), float64(n.sla)
 	switch {
 	case n.Outcome == OK && took < quickPart*sla && float64(a.out+1) >= a.limit/2:
-		a.limit += 1 / a.limit
+		a.limit += min(a.limit, 1/a.limit)
 	case n.Outcome == TurnedOff, n.Outcome == TimedOut && sla > 0, n.Outcome == OK && took > latePart*sla:
 		if a.now >= a.cutAt+cutEvery {
-			a.limit, a.cutAt = max(1, a.limit*limitCut), a.now
+			a.limit, a.cutAt = max(a.least, a.limit*limitCut), a.now
 		}
 	}
 	switch n.Outcome {
@@ -550,6 +551,15 @@
 func (d *desk) pick(t *txn, want, top int) *appliance {
 	var open []*appliance
 	var held, weight float64
+	var total, room float64
+	for _, a := range d.fleet.all {
+		if a.ready() && a.now >= a.aside {
+			total, room = total+float64(a.out), room+a.limit
+		}
+	}
+	if total+1 > max(1, room) {
+		return nil // limits under one each: all agents' ones together would still be a queue
+	}
 	for _, a := range d.fleet.all {
 		if a.healthy() && d.rank(a.Build, top) == want && d.may(t, a) {
 			open, held, weight = append(open, a), held+float64(a.out), weight+a.weight()
--- a/brain/record.go
+++ b/brain/record.go
@@ -48,6 +48,7 @@
 	all    []*appliance
 	probes bool
 	cold   ColdStart
+	least  float64 // the lowest limit
 }
 
 // appliance is one record and the small actor that keeps it.
@@ -59,6 +60,7 @@
 	points []uint64
 	probes bool
 	cold   ColdStart
+	least  float64
 	out    int    // own submissions that have no outcome yet
 	sends  []load // own submissions while it was cold
 	health
