--- a/brain/brain.go
+++ b/brain/brain.go
@@ -745,8 +745,6 @@
 		return Hold
 	case j.polling.Ballot == BallotTimer, drags && j.now-j.slowFrom >= dragHolds:
 		return NoVote
-	case j.now-j.since >= stageClock && j.ratio <= holdAbove:
-		return On
 	}
 	newest := Micros(math.MinInt64 / 2)
 	for _, a := range j.fleet.all {
@@ -754,7 +752,14 @@
 			newest = max(newest, a.Started)
 		}
 	}
-	if j.seen >= leastSeen && j.ratio <= -crossing && j.now-newest >= onAfter {
+	// The last stage releases, and there is no comparing afterwards: there the clock also runs from the newest
+	// start, so that the whole build has carried its traffic for a while. Elsewhere delay costs more.
+	clock := j.now - j.since
+	if j.stage == len(j.plan.Caps)-1 {
+		clock = min(clock, j.now-newest)
+	}
+	if j.seen >= leastSeen && j.ratio <= -crossing && min(clock, j.now-newest) >= onAfter ||
+		clock >= stageClock && j.ratio <= holdAbove {
 		return On
 	}
 	return NoVote
