--- a/brain/brain.go
+++ b/brain/brain.go
@@ -635,6 +635,10 @@
 		}
 		if n.Outcome == OK {
 			j.done++
+			if n.by.Build == j.build {
+				j.dose += doseFade
+			}
+			j.dose *= 1 - doseFade
 		}
 		if n.product >= 0 && (n.Outcome == OK || n.Outcome == TimedOut) {
 			j.time(n)
@@ -681,8 +685,14 @@
 	dragMost = 8
 	// dragTimes slower and fewer txns completed than dragDone of the calm's: either alone is only more traffic.
 	dragTimes, dragDone = 1.6, 0.8
-	// dragHolds back the vote to go on soon, as a delay is cheap; dragLasts outlives most passing jams.
-	dragHolds, dragLasts = 1 * second, 10 * second
+	// dragAlone is slow enough without a drop, as long as the fleet has slack; it counts for less.
+	dragAlone, aloneCounts = 2, 0.7
+	// doseFade: the build's part of the answers, over the last fifty.
+	doseFade = 0.02
+	// wholeFleet: with fewer appliances than this part of the calm's, the rest are slow for that reason.
+	wholeFleet = 0.85
+	// dragHolds back the vote to release soon, as a delay is cheap there; dragLasts outlives most passing jams.
+	dragHolds, dragLasts = 0.5e6, 7e6
 	// doneSpan and calmSpan: completions are averaged over these times.
 	doneSpan, calmSpan = 3 * second, 10 * second
 	// settleAfter its release, a build counts as part of the calm.
@@ -694,10 +704,12 @@
 	return j.phase != OnTrial && (j.since <= j.began || j.now-j.since > settleAfter)
 }
 
+func (j *judge) calmNow() bool { return j.slow == 0 && (j.build == 0 || j.settled()) }
+
 // time compares an answer with those of the calm, product by product.
 func (j *judge) time(n told) {
 	p := n.product
-	if j.settled() && j.slowFrom == 0 {
+	if j.calmNow() {
 		j.calmSeen[p]++
 		j.calm[p] += (float64(n.Took) - j.calm[p]) * max(calmFade, 1/j.calmSeen[p])
 	}
@@ -707,14 +719,19 @@
 }
 
 // feel guards against a release that slows old and new alike, where no comparison of builds can show it: the
-// median appliance, so more than half the fleet, answers far slower than before the release, completes less,
-// and goes on so. It should catch any harm a release does to what all share. It may send a good build back
-// in a jam of the whole fleet that begins during a release and lasts longer than dragLasts.
+// median appliance, so more than half the fleet, answers far slower than before the release, with the fleet
+// whole, and goes on so; counted by the part of the txns that the build answers, as harm in step with its
+// traffic cannot come before the traffic, and in full only where less is completed too. It should catch any harm a release does
+// to what all share. It may send a good build back in a jam of the whole fleet that begins during a release
+// and lasts longer than dragLasts.
 func (j *judge) feel() {
 	var drags []float64
+	whole := 0.0
 	for _, a := range j.fleet.all {
-		if a.ready() && a.pace() >= 1 {
-			drags = append(drags, a.drag)
+		if a.ready() && a.now >= a.aside {
+			if whole++; a.pace() >= 1 {
+				drags = append(drags, a.drag)
+			}
 		}
 	}
 	sort.Float64s(drags)
@@ -722,28 +739,37 @@
 	rate := j.done / max(1, dt)
 	j.done, j.feltAt = 0, j.now
 	j.rate += (rate - j.rate) * min(1, max(dt/float64(doneSpan), dt/age))
-	if j.settled() && j.slowFrom == 0 {
-		j.calmRate += (rate - j.calmRate) * min(1, max(dt/float64(calmSpan), dt/age))
+	if j.calmNow() {
+		part := min(1, max(dt/float64(calmSpan), dt/age))
+		j.calmRate += (rate - j.calmRate) * part
+		j.calmFleet += (whole - j.calmFleet) * part
+	}
+	median := 0.0
+	if len(drags) > 0 && whole >= wholeFleet*j.calmFleet {
+		median = drags[len(drags)/2]
 	}
-	if len(drags) == 0 || drags[len(drags)/2] < dragTimes || j.rate > dragDone*j.calmRate {
-		j.slowFrom = 0
-	} else if j.slowFrom == 0 {
-		j.slowFrom = j.now
+	switch {
+	case median >= dragTimes && j.rate < dragDone*j.calmRate:
+		j.slow += dt * j.dose
+	case median >= dragAlone:
+		j.slow += dt * j.dose * aloneCounts
+	default:
+		j.slow = max(0, j.slow-dt)
 	}
 }
 
 func (j *judge) verdict() Verdict {
-	drags := j.slowFrom > 0 && !j.settled()
+	drags, last := !j.settled(), j.stage == len(j.plan.Caps)-1
 	switch {
 	case j.build == 0 || j.spoiled[j.build]:
 		return NoVote
-	case j.seen >= leastSeen && j.ratio >= crossing, drags && j.now-j.slowFrom >= dragLasts:
+	case j.seen >= leastSeen && j.ratio >= crossing, drags && j.slow >= dragLasts:
 		return Back
 	case j.phase != OnTrial:
 		return NoVote
 	case j.polling.Ballot == BallotTimer && j.ratio > holdAbove:
 		return Hold
-	case j.polling.Ballot == BallotTimer, drags && j.now-j.slowFrom >= dragHolds:
+	case j.polling.Ballot == BallotTimer, drags && last && j.slow >= dragHolds:
 		return NoVote
 	}
 	newest := Micros(math.MinInt64 / 2)
@@ -755,7 +781,7 @@
 	// The last stage releases, and there is no comparing afterwards: there the clock also runs from the newest
 	// start, so that the whole build has carried its traffic for a while. Elsewhere delay costs more.
 	clock := j.now - j.since
-	if j.stage == len(j.plan.Caps)-1 {
+	if last {
 		clock = min(clock, j.now-newest)
 	}
 	if j.seen >= leastSeen && j.ratio <= -crossing && min(clock, j.now-newest) >= onAfter ||
--- a/brain/record.go
+++ b/brain/record.go
@@ -151,5 +151,7 @@
 	castAt, quiet        Micros
 	calm, calmSeen       []float64 // answer times before the release, by product
 	done, rate, calmRate float64   // txns completed: since the last beat, a µs now, a µs in the calm
-	feltAt, slowFrom     Micros    // the last beat; the fleet drags since (0: it does not)
+	feltAt               Micros    // the last beat
+	dose                 float64   // the build's part of the answers
+	slow, calmFleet      float64   // µs that the fleet has dragged; appliances in the calm
 }
