--- a/brain/brain.go
+++ b/brain/brain.go
@@ -633,16 +633,15 @@
 		if n.Outcome == OK || n.Outcome == Errored {
 			j.weigh(n.by, n.Outcome != OK)
 		}
-		if n.Outcome == OK {
-			j.done++
+		if n.product >= 0 && (n.Outcome == OK || n.Outcome == TimedOut) {
+			if j.time(n); n.Outcome == OK && n.Took <= n.sla {
+				j.done++
+			}
 			if n.by.Build == j.build {
 				j.dose += doseFade
 			}
 			j.dose *= 1 - doseFade
 		}
-		if n.product >= 0 && (n.Outcome == OK || n.Outcome == TimedOut) {
-			j.time(n)
-		}
 	case beat:
 		j.feel()
 	}
@@ -685,6 +684,8 @@
 	dragMost = 8
 	// dragTimes slower and fewer txns completed than dragDone of the calm's: either alone is only more traffic.
 	dragTimes, dragDone = 1.6, 0.8
+	// collapse: with so little answered in time it need not be told apart any more from what else is wrong.
+	collapse = 0.5
 	// dragAlone is slow enough without a drop, as long as the fleet has slack; it counts for less.
 	dragAlone, aloneCounts = 2, 0.7
 	// doseFade: the build's part of the answers, over the last fifty.
@@ -696,7 +697,7 @@
 	// doneSpan and calmSpan: completions are averaged over these times.
 	doneSpan, calmSpan = 3 * second, 10 * second
 	// settleAfter its release, a build counts as part of the calm.
-	settleAfter = 15 * second
+	settleAfter = 25 * second
 )
 
 // settled: the release has been out for a while, or since before this agent came.
@@ -749,7 +750,7 @@
 		median = drags[len(drags)/2]
 	}
 	switch {
-	case median >= dragTimes && j.rate < dragDone*j.calmRate:
+	case median >= dragTimes && j.rate < dragDone*j.calmRate, j.rate < collapse*j.calmRate:
 		j.slow += dt * j.dose
 	case median >= dragAlone:
 		j.slow += dt * j.dose * aloneCounts
