--- a/brain/brain.go
+++ b/brain/brain.go
@@ -686,6 +686,8 @@
 	dragTimes, dragDone = 1.6, 0.8
 	// collapse: with so little answered in time it need not be told apart any more from what else is wrong.
 	collapse = 0.5
+	// dragClears: a jam that has passed is forgotten faster than it was felt.
+	dragClears = 4
 	// dragAlone is slow enough without a drop, as long as the fleet has slack; it counts for less.
 	dragAlone, aloneCounts = 2, 0.7
 	// doseFade: the build's part of the answers, over the last fifty.
@@ -755,7 +757,7 @@
 	case median >= dragAlone:
 		j.slow += dt * j.dose * aloneCounts
 	default:
-		j.slow = max(0, j.slow-dt)
+		j.slow = max(0, j.slow-dragClears*dt)
 	}
 }
 
