--- a/brain/brain.go
+++ b/brain/brain.go
@@ -164,7 +164,7 @@
 	switch n := n.(type) {
 	case Row:
 		if n.Started != a.Started || n.Build != a.Build || n.State == Gone || a.limit == 0 {
-			a.health, a.sends = health{limit: firstLimit, drag: 1}, nil
+			a.health, a.sends = health{limit: firstLimit}, nil
 		}
 		a.Row = n
 	case sent:
@@ -173,8 +173,6 @@
 	case told:
 		a.out = max(0, a.out-1)
 		a.learn(n)
-	case drag:
-		a.drag += (n.times - a.drag) * dragFade
 	case beat:
 		for len(a.sends) > 0 && a.sends[0].at <= a.now-a.cold.After {
 			a.sends = a.sends[1:]
@@ -678,18 +676,16 @@
 }
 
 const (
-	// dragFade: an appliance's last five or six answers. calmFade: some fifty answers of a product in the calm.
-	dragFade, calmFade = 0.15, 0.02
-	// dragMost bounds one answer's say.
-	dragMost = 8
+	// dragLast answers are looked at: two seconds of a busy agent. calmFade: some fifty answers of a product.
+	dragLast, calmFade = 30, 0.02
 	// dragTimes slower and fewer txns completed than dragDone of the calm's: either alone is only more traffic.
-	dragTimes, dragDone = 1.6, 0.8
+	dragTimes, dragDone = 1.3, 0.8
 	// collapse: with so little answered in time it need not be told apart any more from what else is wrong.
 	collapse = 0.5
 	// dragClears: a jam that has passed is forgotten faster than it was felt.
 	dragClears = 4
 	// dragAlone is slow enough without a drop, as long as the fleet has slack; it counts for less.
-	dragAlone, aloneCounts = 2, 0.7
+	dragAlone, aloneCounts = 1.6, 0.7
 	// doseFade: the build's part of the answers, over the last fifty.
 	doseFade = 0.02
 	// wholeFleet: with fewer appliances than this part of the calm's, the rest are slow for that reason.
@@ -717,27 +713,23 @@
 		j.calm[p] += (float64(n.Took) - j.calm[p]) * max(calmFade, 1/j.calmSeen[p])
 	}
 	if j.calmSeen[p] >= leastSeen {
-		n.by.put(drag{min(dragMost, float64(n.Took)/j.calm[p])})
+		j.times = append(j.times, float64(n.Took)/j.calm[p])
+		j.times = j.times[max(0, len(j.times)-dragLast):]
 	}
 }
 
 // feel guards against a release that slows old and new alike, where no comparison of builds can show it: the
-// median appliance, so more than half the fleet, answers far slower than before the release, with the fleet
-// whole, and goes on so; counted by the part of the txns that the build answers, as harm in step with its
+// median answer is far slower than before the release, with the fleet whole, and goes on so; counted by the part of the txns that the build answers, as harm in step with its
 // traffic cannot come before the traffic, and in full only where less is completed too. It should catch any harm a release does
 // to what all share. It may send a good build back in a jam of the whole fleet that begins during a release
 // and lasts longer than dragLasts.
 func (j *judge) feel() {
-	var drags []float64
 	whole := 0.0
 	for _, a := range j.fleet.all {
 		if a.ready() && a.now >= a.aside {
-			if whole++; a.pace() >= 1 {
-				drags = append(drags, a.drag)
-			}
+			whole++
 		}
 	}
-	sort.Float64s(drags)
 	age, dt := float64(j.now-j.began)+1, float64(j.now-j.feltAt)
 	rate := j.done / max(1, dt)
 	j.done, j.feltAt = 0, j.now
@@ -748,8 +740,10 @@
 		j.calmFleet += (whole - j.calmFleet) * part
 	}
 	median := 0.0
-	if len(drags) > 0 && whole >= wholeFleet*j.calmFleet {
-		median = drags[len(drags)/2]
+	if len(j.times) == dragLast && whole >= wholeFleet*j.calmFleet {
+		sorted := append([]float64(nil), j.times...)
+		sort.Float64s(sorted)
+		median = sorted[dragLast/2]
 	}
 	switch {
 	case median >= dragTimes && j.rate < dragDone*j.calmRate, j.rate < collapse*j.calmRate:
--- a/brain/record.go
+++ b/brain/record.go
@@ -7,10 +7,9 @@
 // Parts talk by notes put into inboxes, which Handle's loop empties. Events serve as notes; the others are these.
 type (
 	note any
-	beat struct{}                // the tick by which parts look at the time
-	sent struct{ work float64 }  // a submission is on its way to this appliance
-	drag struct{ times float64 } // how long an answer took against those before the release
-	told struct {                // an outcome, with the record of the appliance that gave it
+	beat struct{}               // the tick by which parts look at the time
+	sent struct{ work float64 } // a submission is on its way to this appliance
+	told struct {               // an outcome, with the record of the appliance that gave it
 		Ended
 		by      *appliance
 		product int  // -1: the txn is over and forgotten
@@ -70,7 +69,6 @@
 type health struct {
 	limit       float64 // own submissions that it may hold
 	cutAt       Micros
-	drag        float64 // moving mean of drag notes
 	errs        float64 // moving share of errors
 	strikes     int     // silent outcomes in a row
 	heard       Micros  // its last answer
@@ -151,6 +149,7 @@
 	castAt, quiet        Micros
 	calm, calmSeen       []float64 // answer times before the release, by product
 	done, rate, calmRate float64   // txns completed: since the last beat, a µs now, a µs in the calm
+	times                []float64 // the last answers against those before the release
 	feltAt               Micros    // the last beat
 	dose                 float64   // the build's part of the answers
 	slow, calmFleet      float64   // µs that the fleet has dragged; appliances in the calm
