--- a/brain/brain.go
+++ b/brain/brain.go
@@ -153,7 +153,8 @@
 	// order of a restart's first signs, and short against the list's lag.
 	asideFor, asideSpread = 1 * second, 500 * ms
 	// fullFor: a full appliance works off a txn or two in this time; asked again sooner it only says no.
-	fullFor = 300 * ms
+	// It doubles, as one that only ever says no may be draining with the list still to tell.
+	fullFor, fullDoubles = 300 * ms, 4
 	// silentStrikes: one time-out may be a heavy txn, two in a row with no answer between are the appliance.
 	silentStrikes = 2
 	// errFade and errMost: three errors in a row set an appliance aside, the worst builds told of do not.
@@ -219,7 +220,7 @@
 	}
 	switch n.Outcome {
 	case OK:
-		a.strikes, a.heard, a.errs = 0, a.now, a.errs*(1-errFade)
+		a.strikes, a.fulls, a.heard, a.errs = 0, 0, a.now, a.errs*(1-errFade)
 	case Errored:
 		// An appliance that fails fast looks idle and would draw ever more txns. On trial it is the judge's
 		// matter, who would otherwise be short of evidence.
@@ -228,7 +229,8 @@
 			a.setAside()
 		}
 	case TurnedOff:
-		a.full = a.now + fullFor
+		a.full = a.now + fullFor<<min(a.fulls, fullDoubles)
+		a.fulls++
 	case NoConnect, Broken:
 		a.setAside()
 	case TimedOut:
--- a/brain/record.go
+++ b/brain/record.go
@@ -71,6 +71,7 @@
 	cutAt       Micros
 	errs        float64 // moving share of errors
 	strikes     int     // silent outcomes in a row
+	fulls       int     // times that it turned work away since its last answer
 	heard       Micros  // its last answer
 	full, aside Micros  // left alone until then
 	asking      bool    // a probe is out
