--- a/brain/brain.go
+++ b/brain/brain.go
@@ -610,6 +610,8 @@
 	baseFade = 0.997
 	// renewAt: votes are renewed with a third of their life left, room for one lost answer.
 	renewAt = 0.66
+	// blindWait leaves the others time for a drag to count.
+	blindWait = 10 * second
 	// fullPause and voteRetry: after 'full' the launcher gets a second, after other failures a short wait.
 	fullPause, voteRetry = 1 * second, 250 * ms
 )
@@ -781,7 +783,9 @@
 	// start, so that the whole build has carried its traffic for a while. Elsewhere delay costs more.
 	clock := j.now - j.since
 	if last {
-		clock = min(clock, j.now-newest)
+		if clock = min(clock, j.now-newest); len(j.times) < dragLast {
+			clock -= blindWait // this agent can not feel a drag; where one vote is enough, others may
+		}
 	}
 	if j.seen >= leastSeen && j.ratio <= -crossing && min(clock, j.now-newest) >= onAfter ||
 		clock >= stageClock && j.ratio <= holdAbove {
