--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,7 +29,7 @@
 	g.desk = &desk{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet, judge: g.judge,
 		post: st, products: products, hand: hand, cold: cold, count: count,
 		awayCost: 1 + awayPerFare*fares.CrossZone, ledger: make([][]entry, len(products)),
-		txns: map[uint64]*txn{}, bound: map[uint64]int{}}
+		txns: map[uint64]*txn{}, away: map[uint64]Micros{}, returns: 0.5, bound: map[uint64]int{}}
 	if may.Advise {
 		g.desk.holdOff = hand.MaxHoldOff // a decline means a jam; nothing sooner would find it gone
 	}
@@ -121,12 +121,6 @@
 	return out
 }
 
-// reach is the way clockwise from a spot to this appliance's nearest point.
-func (a *appliance) reach(spot uint64) float64 {
-	i := sort.Search(len(a.points), func(i int) bool { return a.points[i] >= spot })
-	return float64(a.points[i%len(a.points)]-spot) + 1
-}
-
 // pace is the part of its capacity that a starting appliance surely has.
 func (a *appliance) pace() float64 {
 	if a.Started <= 0 || a.cold.Warm <= 0 {
@@ -135,12 +129,7 @@
 	return min(1, a.cold.From+(1-a.cold.From)*float64(max(0, a.now-a.Started))/float64(a.cold.Warm))
 }
 
-func (a *appliance) weight() float64 {
-	if a.Weight <= 0 {
-		return a.pace()
-	}
-	return a.Weight * a.pace()
-}
+func (a *appliance) weight() float64 { return max(a.Weight, 1e-9) * a.pace() }
 
 func (a *appliance) ready() bool { return a.State == Ready }
 
@@ -153,8 +142,7 @@
 	// order of a restart's first signs, and short against the list's lag.
 	asideFor, asideSpread = 1 * second, 500 * ms
 	// fullFor: a full appliance works off a txn or two in this time; asked again sooner it only says no.
-	// It doubles, as one that only ever says no may be draining with the list still to tell.
-	fullFor, fullDoubles = 300 * ms, 4
+	fullFor = 300 * ms
 	// silentStrikes: one time-out may be a heavy txn, two in a row with no answer between are the appliance.
 	silentStrikes = 2
 	// errFade and errMost: three errors in a row set an appliance aside, the worst builds told of do not.
@@ -220,7 +208,7 @@
 	}
 	switch n.Outcome {
 	case OK:
-		a.strikes, a.fulls, a.heard, a.errs = 0, 0, a.now, a.errs*(1-errFade)
+		a.strikes, a.heard, a.errs = 0, a.now, a.errs*(1-errFade)
 	case Errored:
 		// An appliance that fails fast looks idle and would draw ever more txns. On trial it is the judge's
 		// matter, who would otherwise be short of evidence.
@@ -229,8 +217,7 @@
 			a.setAside()
 		}
 	case TurnedOff:
-		a.full = a.now + fullFor<<min(a.fulls, fullDoubles)
-		a.fulls++
+		a.full = a.now + fullFor
 	case NoConnect, Broken:
 		a.setAside()
 	case TimedOut:
@@ -306,6 +293,11 @@
 		if n.Work > 0 {
 			d.usual += (float64(n.Work) - d.usual) * usualFade
 		}
+		t.who = mix(mix(h+uint64(n.Product)) + uint64(n.Customer))
+		if _, back := d.away[t.who]; back {
+			delete(d.away, t.who)
+			d.returns += (1 - d.returns) * returnFade
+		}
 		d.txns[n.ID] = t
 		d.enter(n.Product, takenMark)
 		d.route(t)
@@ -320,6 +312,7 @@
 	case Staged:
 		d.hear(n) // a lower cap binds at once, and what was sent before still counts: never too much
 	case beat:
+		d.expect()
 		worth := func(i int) float64 { return d.products[d.held[i].Product].Revenue }
 		sort.SliceStable(d.held, func(i, j int) bool { return worth(i) > worth(j) })
 		for _, t := range d.held {
@@ -366,14 +359,6 @@
 	d.put(t)
 }
 
-// slot is the ledger that counts for a product.
-func (d *desk) slot(product int) *[]entry {
-	if d.count.ByProduct {
-		return &d.ledger[product]
-	}
-	return &d.ledger[0]
-}
-
 // windowEdge: two beats longer than the told window, so that no rounding of its ends matters.
 const windowEdge = 2 * beatEvery
 
@@ -455,7 +440,34 @@
 		d.enter(t.Product, a.Build)
 	}
 	a.put(sent{d.work(t)})
-	d.give(Submit{ID: t.ID, Appliance: a.ID})
+	d.give(Submit{ID: t.ID, Appliance: a.ID, Patience: d.patience(t)})
+}
+
+const (
+	// returnFade: the last ten clients turned away. backWithin, after the longest wait that they follow.
+	returnFade, backWithin = 0.1, 500 * ms
+	// fewReturn: below it, ending late work frees more than the clients' next tries cost.
+	fewReturn = 0.3
+)
+
+// patience is how long a submission is waited for: to the client's expiry, or, where clients turned away are
+// seen not to come back, to the SLA time, so that late work does not hold up other txns.
+func (d *desk) patience(t *txn) Micros {
+	if left := t.at + d.products[t.Product].SLA - d.now; d.returns < fewReturn && left > 0 {
+		return min(left, t.Expires-d.now)
+	}
+	return 0
+}
+
+// expect counts those turned away who have not come back in the time that they had.
+func (d *desk) expect() {
+	for len(d.left) > 0 && d.left[0].at < d.now-d.hand.MaxHoldOff-backWithin {
+		if d.away[d.left[0].who] == d.left[0].at {
+			delete(d.away, d.left[0].who)
+			d.returns *= 1 - returnFade
+		}
+		d.left = d.left[1:]
+	}
 }
 
 const (
@@ -591,6 +603,7 @@
 func (d *desk) answer(t *txn) {
 	p := &d.products[t.Product]
 	delete(d.txns, t.ID)
+	d.away[t.who], d.left = d.now, append(d.left, parting{d.now, t.who})
 	if t.ran == nil || p.Effect == InquiryLike ||
 		p.Effect == Referenced && p.Group == ScopeAll && d.now < t.ranAt+p.Memory {
 		d.give(Decline{ID: t.ID, HoldOff: d.holdOff})
@@ -723,10 +736,10 @@
 }
 
 // feel guards against a release that slows old and new alike, where no comparison of builds can show it: the
-// median answer is far slower than before the release, with the fleet whole, and goes on so; counted by the part of the txns that the build answers, as harm in step with its
-// traffic cannot come before the traffic, and in full only where less is completed too. It should catch any harm a release does
-// to what all share. It may send a good build back in a jam of the whole fleet that begins during a release
-// and lasts longer than dragLasts.
+// median answer is far slower than before the release, with the fleet whole, and goes on so; counted by the
+// build's part of the txns, as harm in step with its traffic cannot come before the traffic, and in full where
+// less is completed too. It should catch any harm a release does to what all share. It may send a good build
+// back in a jam of the whole fleet that begins during a release and lasts longer than dragLasts.
 func (j *judge) feel() {
 	whole := 0.0
 	for _, a := range j.fleet.all {
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -2,6 +2,8 @@
 
 package brain
 
+import "sort"
+
 type inbox struct{ notes []note }
 
 func (b *inbox) put(n note) { b.notes = append(b.notes, n) }
@@ -48,3 +50,17 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// reach is the way clockwise from a spot to this appliance's nearest point.
+func (a *appliance) reach(spot uint64) float64 {
+	i := sort.Search(len(a.points), func(i int) bool { return a.points[i] >= spot })
+	return float64(a.points[i%len(a.points)]-spot) + 1
+}
+
+// slot is the ledger that counts for a product.
+func (d *desk) slot(product int) *[]entry {
+	if d.count.ByProduct {
+		return &d.ledger[product]
+	}
+	return &d.ledger[0]
+}
--- a/brain/record.go
+++ b/brain/record.go
@@ -71,7 +71,6 @@
 	cutAt       Micros
 	errs        float64 // moving share of errors
 	strikes     int     // silent outcomes in a row
-	fulls       int     // times that it turned work away since its last answer
 	heard       Micros  // its last answer
 	full, aside Micros  // left alone until then
 	asking      bool    // a probe is out
@@ -99,7 +98,7 @@
 	Taken
 	at, sentAt Micros
 	fraction   float64
-	spot       uint64
+	spot, who  uint64 // its place on the ring; its key, product and customer
 	on         *appliance
 	seq        int
 	ran        *Row // where it may have run first
@@ -130,9 +129,12 @@
 	ledger   [][]entry
 	txns     map[uint64]*txn
 	held     []*txn
-	bound    map[uint64]int // one-way: the build that answered a key
-	holdOff  Micros         // what a decline tells the client
-	usual    float64        // moving mean of told work, or else of answer times
+	bound    map[uint64]int    // one-way: the build that answered a key
+	holdOff  Micros            // what a decline tells the client
+	away     map[uint64]Micros // clients turned away who may come back
+	left     []parting         // the same in order of time
+	returns  float64           // the moving share of those who come back
+	usual    float64           // moving mean of told work, or else of answer times
 }
 
 // judge weighs the build on trial and votes.
@@ -155,3 +157,8 @@
 	dose                 float64   // the build's part of the answers
 	slow, calmFleet      float64   // µs that the fleet has dragged; appliances in the calm
 }
+
+type parting struct {
+	at  Micros
+	who uint64
+}
