--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,9 +30,6 @@
 		post: st, products: products, hand: hand, cold: cold, count: count,
 		awayCost: 1 + awayPerFare*fares.CrossZone, ledger: make([][]entry, len(products)),
 		txns: map[uint64]*txn{}, away: map[uint64]Micros{}, returns: 0.5, bound: map[uint64]int{}}
-	if may.Advise {
-		g.desk.holdOff = hand.MaxHoldOff // a decline means a jam; nothing sooner would find it gone
-	}
 	for _, p := range products {
 		g.desk.usual = max(g.desk.usual, float64(p.SLA)/4) // until txns tell
 	}
@@ -50,23 +47,14 @@
 	if g.began < 0 {
 		g.began, ring = now, true
 	}
-	if ring {
-		g.give(Wake{At: now + beatEvery})
-		for _, p := range g.parts {
+	for _, p := range g.parts {
+		p.put(ev) // each takes what concerns it
+		if ring {
 			p.put(beat{})
 		}
 	}
-	switch ev := ev.(type) {
-	case Listed:
-		g.fleet.put(ev)
-		g.lister.put(ev)
-	case Probed, Flagged:
-		g.fleet.put(ev)
-	case Staged:
-		g.judge.put(ev)
-		g.desk.put(ev)
-	case Taken, Ended, Begun, Abandoned:
-		g.desk.put(ev)
+	if ring {
+		g.give(Wake{At: now + beatEvery})
 	}
 	for g.step() {
 	}
@@ -606,7 +594,7 @@
 	d.away[t.who], d.left = d.now, append(d.left, parting{d.now, t.who})
 	if t.ran == nil || p.Effect == InquiryLike ||
 		p.Effect == Referenced && p.Group == ScopeAll && d.now < t.ranAt+p.Memory {
-		d.give(Decline{ID: t.ID, HoldOff: d.holdOff})
+		d.give(Decline{ID: t.ID, HoldOff: d.hand.MaxHoldOff}) // a jam; nothing sooner would find it gone
 	} else {
 		d.give(Void{ID: t.ID})
 	}
@@ -657,6 +645,11 @@
 			}
 			j.dose *= 1 - doseFade
 		}
+	case Flagged:
+		// An answer found wrong was counted as good; the earlier build's false reports count alike.
+		if a := j.fleet.byID[n.Appliance]; a != nil {
+			j.weigh(a, true)
+		}
 	case beat:
 		j.feel()
 	}
@@ -737,7 +730,7 @@
 
 // feel guards against a release that slows old and new alike, where no comparison of builds can show it: the
 // median answer is far slower than before the release, with the fleet whole, and goes on so; counted by the
-// build's part of the txns, as harm in step with its traffic cannot come before the traffic, and in full where
+// build's part of the txns, as harm in step with its traffic cannot come before it, and in full where
 // less is completed too. It should catch any harm a release does to what all share. It may send a good build
 // back in a jam of the whole fleet that begins during a release and lasts longer than dragLasts.
 func (j *judge) feel() {
--- a/brain/port.go
+++ b/brain/port.go
@@ -94,12 +94,12 @@
 	DrainGrace     Micros
 	AnswerGrace    Micros
 	MaxSubmissions int
-	MaxHoldOff     Micros
+	MaxHoldOff     Micros // longest wait that clients follow; 0 where they are not told
 }
 
 // Licence is what the deployment permits an agent to do.
 type Licence struct {
-	Probe, CallOff, Tell, Ask, Advise bool
+	Probe, CallOff, Tell, Ask bool
 }
 
 // Fares are prices, as parts of the result.
--- a/brain/record.go
+++ b/brain/record.go
@@ -130,7 +130,6 @@
 	txns     map[uint64]*txn
 	held     []*txn
 	bound    map[uint64]int    // one-way: the build that answered a key
-	holdOff  Micros            // what a decline tells the client
 	away     map[uint64]Micros // clients turned away who may come back
 	left     []parting         // the same in order of time
 	returns  float64           // the moving share of those who come back
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -201,7 +201,9 @@
 	case "probed":
 		s.give(Probed{Appliance: uint32(s.num(w[0])), Outcome: outcomeWords[w[1]]})
 	case "flag":
-		s.give(Flagged{Appliance: uint32(s.num(w[0]))})
+		for n := s.num(w[1]); n > 0; n-- { // ID TIMES
+			s.give(Flagged{Appliance: uint32(s.num(w[0]))})
+		}
 	case "run": // until=ms every=ms fail=build failat=id: traffic, each txn answered in time
 		m := opts(w)
 		since := len(s.log)
--- a/wire/facts.go
+++ b/wire/facts.go
@@ -129,10 +129,13 @@
 	cold := brain.ColdStart{From: f.num("Safety.ColdFrom"), Warm: f.ms("Safety.ColdMs"),
 		Multiple: f.num("Safety.TipMultiple"), After: f.ms("Safety.TipAfterMs")}
 	hand := brain.Handover{DrainGrace: f.ms("Safety.DrainGraceMs"), AnswerGrace: f.ms("Safety.GraceToAnswerMs"),
-		MaxSubmissions: f.count("Limits.MaxAttempts"), MaxHoldOff: int64(f.opt("Limits.MaxRetryAfterMs") * 1000)}
+		MaxSubmissions: f.count("Limits.MaxAttempts")}
+	if f.flag("Limits.RetryAfter") {
+		hand.MaxHoldOff = f.ms("Limits.MaxRetryAfterMs")
+	}
 	may := brain.Licence{Probe: f.flag("Limits.Probes"), CallOff: f.flag("Limits.Cancel"),
-		Tell: f.flag("Limits.MayTell"), Advise: f.flag("Limits.RetryAfter"),
-		Ask: pick(f, "Discovery", map[string]bool{"subscribe": true, "automatic": false})}
+		Tell: f.flag("Limits.MayTell"),
+		Ask:  pick(f, "Discovery", map[string]bool{"subscribe": true, "automatic": false})}
 	fares := brain.Fares{CrossZone: f.opt("Charges.CrossZone"), Waste: f.opt("Charges.Waste"),
 		Probe: f.opt("Charges.Probe"), Tell: f.opt("Charges.Peer")}
 	if f.err != nil {
