--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,7 +23,7 @@
 	hand Handover, may Licence, fares Fares) Router {
 	g := &agent{line: &line{chance: rand.New(rand.NewSource(st.Seed)), began: -1}}
 	g.fleet = &fleet{line: g.line, byID: map[uint32]*appliance{}, probes: may.Probe, cold: cold,
-		least: 1 / float64(st.Agents)} // limits as low as one open submission an appliance, of all agents together
+		points: ringPoints, salt: ringSalt, least: 1 / float64(st.Agents)} // one open of all agents together
 	g.judge = &judge{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet,
 		polling: polling, calm: make([]float64, len(products)), calmSeen: make([]float64, len(products))}
 	g.desk = &desk{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet, judge: g.judge,
@@ -64,51 +64,10 @@
 // Fixed salts, alike on all agents and unlike each other: with one salt the slice's keys would crowd one arc.
 const sliceSalt, ringSalt = 0x51ce, 0x2176
 
-func (f *fleet) take(n note) {
-	switch n := n.(type) {
-	case Listed:
-		for _, a := range f.all {
-			a.listed = a.listed && !n.Full
-		}
-		for _, row := range n.Rows {
-			a := f.byID[row.ID]
-			if a == nil {
-				a = &appliance{line: f.line, probes: f.probes, cold: f.cold, least: f.least, points: points(row.ID)}
-				f.byID[row.ID], f.all = a, append(f.all, a)
-			}
-			a.listed = true
-			a.put(row)
-		}
-		for _, a := range f.all {
-			if row := a.Row; !a.listed {
-				row.State = Gone
-				a.put(row)
-			}
-		}
-	case beat:
-		for _, a := range f.all {
-			a.put(n)
-		}
-	case Probed:
-		if a := f.byID[n.Appliance]; a != nil {
-			a.put(n)
-		}
-	}
-}
-
 // ringPoints: at 64 points the arcs' spread is about an eighth, near what a score of appliances needs; the
 // paper's formula shows that more buys little.
 const ringPoints = 64
 
-func points(id uint32) []uint64 {
-	out := make([]uint64, ringPoints)
-	for i := range out {
-		out[i] = mix(mix(uint64(id)^ringSalt) + uint64(i))
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
-
 // pace is the part of its capacity that a starting appliance surely has.
 func (a *appliance) pace() float64 {
 	if a.Started <= 0 || a.cold.Warm <= 0 {
@@ -150,6 +109,10 @@
 	case told:
 		a.out = max(0, a.out-1)
 		a.learn(n)
+	case say:
+		if a.said = max(a.said+n.step, -crossing-1); n.anew {
+			a.said = 0
+		}
 	case beat:
 		for len(a.sends) > 0 && a.sends[0].at <= a.now-a.cold.After {
 			a.sends = a.sends[1:]
@@ -198,10 +161,10 @@
 	case OK:
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs*(1-errFade)
 	case Errored:
-		// An appliance that fails fast looks idle and would draw ever more txns. On trial it is the judge's
-		// matter, who would otherwise be short of evidence.
+		// An appliance that fails fast looks idle and would draw ever more txns. On trial the judge first
+		// gets its evidence.
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs+(1-a.errs)*errFade
-		if a.errs > errMost && !n.trial {
+		if a.errs > errMost && (!n.trial || a.said >= crossing) {
 			a.setAside()
 		}
 	case TurnedOff:
@@ -627,7 +590,10 @@
 			}
 		}
 		if j.hear(n) {
-			j.ratio, j.seen, j.cast = 0, 0, NoVote
+			j.seen, j.cast = 0, NoVote
+			for _, a := range j.fleet.all {
+				a.put(say{anew: true})
+			}
 			j.since = max(j.now-n.Age, j.began)
 		}
 	case told:
@@ -676,13 +642,34 @@
 	r1 := min(rateTimes*r0, 0.95)
 	r0 = min(r0, r1/1.05)
 	j.seen++
+	step := math.Log((1 - r1) / (1 - r0))
 	if failed {
-		j.ratio += math.Log(r1 / r0)
-	} else {
-		j.ratio += math.Log((1 - r1) / (1 - r0))
+		step = math.Log(r1 / r0)
+	}
+	a.put(say{step: step})
+}
+
+// oneSays bounds what one appliance adds against its build where there are others, under a crossing; and no
+// less than a fifth of many must speak, more than machines that go bad by themselves.
+const oneSays, speakers = 2, 5
+
+// ratio adds up what the build's appliances say. It guards against machines that fail by themselves, whatever
+// they run: a bad build fails on more than one. A build with one appliance is judged by that alone. Good
+// outcomes are not saved up beyond the crossing, as a build may turn bad late.
+func (j *judge) ratio() (sum float64) {
+	var says []float64
+	for _, a := range j.fleet.all {
+		if a.ready() && a.Build == j.build {
+			says = append(says, a.said)
+		}
+	}
+	for _, said := range says {
+		if n := float64(len(says)); n > 1 {
+			said = min(said, oneSays, speakers*crossing/n)
+		}
+		sum += max(said, -(crossing+1)/float64(len(says)))
 	}
-	// A build may turn bad late: good outcomes are not saved up beyond the crossing.
-	j.ratio = max(j.ratio, -crossing-1)
+	return sum
 }
 
 const (
@@ -766,15 +753,16 @@
 }
 
 func (j *judge) verdict() Verdict {
+	ratio := j.ratio()
 	drags, last := !j.settled(), j.stage == len(j.plan.Caps)-1
 	switch {
 	case j.build == 0 || j.spoiled[j.build]:
 		return NoVote
-	case j.seen >= leastSeen && j.ratio >= crossing, drags && j.slow >= dragLasts:
+	case j.seen >= leastSeen && ratio >= crossing, drags && j.slow >= dragLasts:
 		return Back
 	case j.phase != OnTrial:
 		return NoVote
-	case j.polling.Ballot == BallotTimer && j.ratio > holdAbove:
+	case j.polling.Ballot == BallotTimer && ratio > holdAbove:
 		return Hold
 	case j.polling.Ballot == BallotTimer, drags && last && j.slow >= dragHolds:
 		return NoVote
@@ -793,8 +781,8 @@
 			clock -= blindWait // this agent can not feel a drag; where one vote is enough, others may
 		}
 	}
-	if j.seen >= leastSeen && j.ratio <= -crossing && min(clock, j.now-newest) >= onAfter ||
-		clock >= stageClock && j.ratio <= holdAbove {
+	if j.seen >= leastSeen && ratio <= -crossing && min(clock, j.now-newest) >= onAfter ||
+		clock >= stageClock && ratio <= holdAbove {
 		return On
 	}
 	return NoVote
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -64,3 +64,46 @@
 	}
 	return &d.ledger[0]
 }
+
+// take keeps the records by the list and hands on what concerns a single one.
+func (f *fleet) take(n note) {
+	switch n := n.(type) {
+	case Listed:
+		for _, a := range f.all {
+			a.listed = a.listed && !n.Full
+		}
+		for _, row := range n.Rows {
+			a := f.byID[row.ID]
+			if a == nil {
+				a = &appliance{line: f.line, probes: f.probes, cold: f.cold, least: f.least, points: points(row.ID, f.points, f.salt)}
+				f.byID[row.ID], f.all = a, append(f.all, a)
+			}
+			a.listed = true
+			a.put(row)
+		}
+		for _, a := range f.all {
+			if row := a.Row; !a.listed {
+				row.State = Gone
+				a.put(row)
+			}
+		}
+	case beat:
+		for _, a := range f.all {
+			a.put(n)
+		}
+	case Probed:
+		if a := f.byID[n.Appliance]; a != nil {
+			a.put(n)
+		}
+	}
+}
+
+// points are an appliance's places on the ring, sorted.
+func points(id uint32, count int, salt uint64) []uint64 {
+	out := make([]uint64, count)
+	for i := range out {
+		out[i] = mix(mix(uint64(id)^salt) + uint64(i))
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
--- a/brain/record.go
+++ b/brain/record.go
@@ -7,7 +7,11 @@
 // Parts talk by notes put into inboxes, which Handle's loop empties. Events serve as notes; the others are these.
 type (
 	note any
-	beat struct{}               // the tick by which parts look at the time
+	beat struct{} // the tick by which parts look at the time
+	say  struct {
+		step float64
+		anew bool
+	} // evidence on its build; or a new stage, where it starts anew
 	sent struct{ work float64 } // a submission is on its way to this appliance
 	told struct {               // an outcome, with the record of the appliance that gave it
 		Ended
@@ -48,6 +52,8 @@
 	probes bool
 	cold   ColdStart
 	least  float64 // the lowest limit
+	points int     // an appliance, on the ring
+	salt   uint64
 }
 
 // appliance is one record and the small actor that keeps it.
@@ -70,6 +76,7 @@
 	limit       float64 // own submissions that it may hold
 	cutAt       Micros
 	errs        float64 // moving share of errors
+	said        float64 // its log-likelihood ratio against its build, in this stage
 	strikes     int     // silent outcomes in a row
 	heard       Micros  // its last answer
 	full, aside Micros  // left alone until then
@@ -144,7 +151,6 @@
 	fleet                *fleet
 	polling              Polling
 	since                Micros // the stage's start, or this agent's if later
-	ratio                float64
 	seen                 int
 	good, bad            float64 // the earlier build's outcomes, fading
 	cast                 Verdict
