--- a/brain/brain.go
+++ b/brain/brain.go
@@ -650,8 +650,8 @@
 }
 
 // oneSays bounds what one appliance adds against its build where there are others, under a crossing; and no
-// less than a fifth of many must speak, more than machines that go bad by themselves.
-const oneSays, speakers = 2, 5
+// less than a seventh of many must speak, more than machines that go bad by themselves.
+const oneSays, speakers = 2, 7
 
 // ratio adds up what the build's appliances say. It guards against machines that fail by themselves, whatever
 // they run: a bad build fails on more than one. A build with one appliance is judged by that alone. Good
