--- a/brain/brain.go
+++ b/brain/brain.go
@@ -554,6 +554,7 @@
 func (d *desk) answer(t *txn) {
 	p := &d.products[t.Product]
 	delete(d.txns, t.ID)
+	d.judge.put(turned{})
 	d.away[t.who], d.left = d.now, append(d.left, parting{d.now, t.who})
 	if t.ran == nil || p.Effect == InquiryLike ||
 		p.Effect == Referenced && p.Group == ScopeAll && d.now < t.ranAt+p.Memory {
@@ -603,14 +604,15 @@
 			j.weigh(n.by, n.Outcome != OK)
 		}
 		if n.product >= 0 && (n.Outcome == OK || n.Outcome == TimedOut) {
-			if j.time(n); n.Outcome == OK && n.Took <= n.sla {
-				j.done++
-			}
+			j.time(n)
+			j.inTime(n.Outcome == OK && n.Took <= n.sla)
 			if n.by.Build == j.build {
 				j.dose += doseFade
 			}
 			j.dose *= 1 - doseFade
 		}
+	case turned:
+		j.inTime(false)
 	case Flagged:
 		// An answer found wrong was counted as good; the earlier build's false reports count alike.
 		if a := j.fleet.byID[n.Appliance]; a != nil {
@@ -677,6 +679,9 @@
 	dragLast, calmFade = 30, 0.02
 	// dragTimes slower and fewer txns completed than dragDone of the calm's: either alone is only more traffic.
 	dragTimes, dragDone = 1.3, 0.8
+	// shareDone of the calm's share in time with rateDone of its completions: more traffic lowers only the one,
+	// less traffic only the other.
+	shareDone, rateDone = 0.7, 0.9
 	// collapse: with so little answered in time it need not be told apart any more from what else is wrong.
 	collapse = 0.5
 	// dragClears: a jam that has passed is forgotten faster than it was felt.
@@ -702,6 +707,17 @@
 
 func (j *judge) calmNow() bool { return j.slow == 0 && (j.build == 0 || j.settled()) }
 
+func (j *judge) inTime(yes bool) {
+	now := 0.0
+	if yes {
+		now = 1
+		j.done++
+	}
+	if j.share += (now - j.share) * doseFade; j.calmNow() {
+		j.calmShare = j.share
+	}
+}
+
 // time compares an answer with those of the calm, product by product.
 func (j *judge) time(n told) {
 	p := n.product
@@ -736,14 +752,15 @@
 		j.calmRate += (rate - j.calmRate) * part
 		j.calmFleet += (whole - j.calmFleet) * part
 	}
-	median := 0.0
-	if len(j.times) == dragLast && whole >= wholeFleet*j.calmFleet {
+	median, full := 0.0, whole >= wholeFleet*j.calmFleet
+	if len(j.times) == dragLast && full {
 		sorted := append([]float64(nil), j.times...)
 		sort.Float64s(sorted)
 		median = sorted[dragLast/2]
 	}
 	switch {
-	case median >= dragTimes && j.rate < dragDone*j.calmRate, j.rate < collapse*j.calmRate:
+	case median >= dragTimes && j.rate < dragDone*j.calmRate, j.rate < collapse*j.calmRate,
+		full && j.share < shareDone*j.calmShare && j.rate < rateDone*j.calmRate:
 		j.slow += dt * j.dose
 	case median >= dragAlone:
 		j.slow += dt * j.dose * aloneCounts
--- a/brain/record.go
+++ b/brain/record.go
@@ -12,8 +12,9 @@
 		step float64
 		anew bool
 	} // evidence on its build; or a new stage, where it starts anew
-	sent struct{ work float64 } // a submission is on its way to this appliance
-	told struct {               // an outcome, with the record of the appliance that gave it
+	turned struct{}               // a txn was turned away
+	sent   struct{ work float64 } // a submission is on its way to this appliance
+	told   struct {               // an outcome, with the record of the appliance that gave it
 		Ended
 		by      *appliance
 		product int  // -1: the txn is over and forgotten
@@ -157,6 +158,7 @@
 	castAt, quiet        Micros
 	calm, calmSeen       []float64 // answer times before the release, by product
 	done, rate, calmRate float64   // txns completed: since the last beat, a µs now, a µs in the calm
+	share, calmShare     float64   // of txns answered in time, now and in the calm
 	times                []float64 // the last answers against those before the release
 	feltAt               Micros    // the last beat
 	dose                 float64   // the build's part of the answers
