--- a/brain/brain.go
+++ b/brain/brain.go
@@ -740,7 +740,7 @@
 	whole := 0.0
 	for _, a := range j.fleet.all {
 		if a.ready() && a.now >= a.aside {
-			whole++
+			whole += a.pace() // a cold fleet is not whole
 		}
 	}
 	age, dt := float64(j.now-j.began)+1, float64(j.now-j.feltAt)
