--- a/brain/brain.go
+++ b/brain/brain.go
@@ -681,7 +681,7 @@
 	dragTimes, dragDone = 1.3, 0.8
 	// shareDone of the calm's share in time with rateDone of its completions: more traffic lowers only the one,
 	// less traffic only the other.
-	shareDone, rateDone = 0.7, 0.9
+	shareDone, rateDone = 0.6, 0.85
 	// collapse: with so little answered in time it need not be told apart any more from what else is wrong.
 	collapse = 0.5
 	// dragClears: a jam that has passed is forgotten faster than it was felt.
