--- a/brain/brain.go
+++ b/brain/brain.go
@@ -329,7 +329,7 @@
 		case build:
 			balance++
 		case takenMark:
-			balance -= cap
+			balance -= cap * (1 - 1e-6) // the told cap has seven digits
 		}
 	}
 	return cap > 0 && balance <= d.count.Free
