--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,7 +25,7 @@
 	g.fleet = &fleet{line: g.line, byID: map[uint32]*appliance{}, probes: may.Probe, cold: cold,
 		points: ringPoints, salt: ringSalt, least: 1 / float64(st.Agents)} // one open of all agents together
 	g.judge = &judge{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet,
-		polling: polling, calm: make([]float64, len(products)), calmSeen: make([]float64, len(products))}
+		polling: polling, share: 1, calm: make([]float64, len(products)), calmSeen: make([]float64, len(products))}
 	g.desk = &desk{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet, judge: g.judge,
 		post: st, products: products, hand: hand, cold: cold, count: count,
 		awayCost: 1 + awayPerFare*fares.CrossZone, ledger: make([][]entry, len(products)),
@@ -81,7 +81,8 @@
 func (a *appliance) ready() bool { return a.State == Ready }
 
 func (a *appliance) healthy() bool {
-	return !a.asking && a.now >= max(a.aside, a.full) && float64(a.out)+1 <= max(1, a.limit)
+	return !a.asking && a.now >= max(a.aside, a.full) && float64(a.out)+1 <= max(1, a.limit) &&
+		(a.out == 0 || float64(a.now-a.waits) < quietPart*float64(a.sla))
 }
 
 const (
@@ -90,6 +91,10 @@
 	asideFor, asideSpread = 1 * second, 500 * ms
 	// fullFor: a full appliance works off a txn or two in this time; asked again sooner it only says no.
 	fullFor = 300 * ms
+	// quietPart of the SLA time with submissions out and no answer at all: it gets no more until it answers.
+	// Guards against whatever makes an appliance go quiet (frozen, cut off, stuck on one heavy txn) before
+	// time-outs tell; it may spare one that only has a long txn or two.
+	quietPart = 0.8
 	// silentStrikes: one time-out may be a heavy txn, two in a row with no answer between are the appliance.
 	silentStrikes = 2
 	// errFade and errMost: three errors in a row set an appliance aside, the worst builds told of do not.
@@ -104,10 +109,13 @@
 		}
 		a.Row = n
 	case sent:
+		if a.sla = n.sla; a.out == 0 {
+			a.waits = a.now
+		}
 		a.out++
 		a.sends = append(a.sends, load{a.now, n.work})
 	case told:
-		a.out = max(0, a.out-1)
+		a.out, a.waits = max(0, a.out-1), a.now
 		a.learn(n)
 	case say:
 		if a.said = max(a.said+n.step, -crossing-1); n.anew {
@@ -131,7 +139,11 @@
 	}
 }
 
-func (a *appliance) setAside() { a.strikes, a.aside = 0, a.now+asideFor+a.upTo(asideSpread) }
+// setAside: it comes back on trust for one txn at a time, and one more silence sets it aside again, as probes
+// may be answered beside a queue that does not move.
+func (a *appliance) setAside() {
+	a.strikes, a.limit, a.aside = silentStrikes-1, a.least, a.now+asideFor+a.upTo(asideSpread)
+}
 
 const (
 	// firstLimit: two in work and two waiting at an appliance not known yet.
@@ -202,17 +214,6 @@
 	}
 }
 
-// hear keeps the launcher's news and tells whether build, stage or phase are new.
-func (w *wave) hear(n Staged) bool {
-	if n.Answer && n.Outcome != OK {
-		return false
-	}
-	fresh := n.Build != w.build || n.Stage != w.stage || n.Phase != w.phase
-	w.build, w.stage, w.phase, w.cap = n.Build, n.Stage, n.Phase, n.Cap
-	w.spoiled[n.Build] = n.Phase == GoingBack || n.Phase == Withdrawn
-	return fresh
-}
-
 // capped tells the cap and stage that bind a build, if any do.
 func (w *wave) capped(build int) (cap float64, stage int, bound bool) {
 	switch {
@@ -390,7 +391,7 @@
 	if _, _, bound := d.capped(a.Build); bound {
 		d.enter(t.Product, a.Build)
 	}
-	a.put(sent{d.work(t)})
+	a.put(sent{d.work(t), d.products[t.Product].SLA})
 	d.give(Submit{ID: t.ID, Appliance: a.ID, Patience: d.patience(t)})
 }
 
@@ -680,7 +681,7 @@
 	// dragTimes slower and fewer txns completed than dragDone of the calm's: either alone is only more traffic.
 	dragTimes, dragDone = 1.3, 0.8
 	// shareDone of the calm's share in time with rateDone of its completions: more traffic lowers only the one,
-	// less traffic only the other.
+	// less traffic only the other. Nothing is released either while less than shareDone are in time.
 	shareDone, rateDone = 0.6, 0.85
 	// collapse: with so little answered in time it need not be told apart any more from what else is wrong.
 	collapse = 0.5
@@ -781,7 +782,7 @@
 		return NoVote
 	case j.polling.Ballot == BallotTimer && ratio > holdAbove:
 		return Hold
-	case j.polling.Ballot == BallotTimer, drags && last && j.slow >= dragHolds:
+	case j.polling.Ballot == BallotTimer, last && (drags && j.slow >= dragHolds || j.share < shareDone):
 		return NoVote
 	}
 	newest := Micros(math.MinInt64 / 2)
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -107,3 +107,14 @@
 	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
 	return out
 }
+
+// hear keeps the launcher's news and tells whether build, stage or phase are new.
+func (w *wave) hear(n Staged) bool {
+	if n.Answer && n.Outcome != OK {
+		return false
+	}
+	fresh := n.Build != w.build || n.Stage != w.stage || n.Phase != w.phase
+	w.build, w.stage, w.phase, w.cap = n.Build, n.Stage, n.Phase, n.Cap
+	w.spoiled[n.Build] = n.Phase == GoingBack || n.Phase == Withdrawn
+	return fresh
+}
--- a/brain/record.go
+++ b/brain/record.go
@@ -12,9 +12,12 @@
 		step float64
 		anew bool
 	} // evidence on its build; or a new stage, where it starts anew
-	turned struct{}               // a txn was turned away
-	sent   struct{ work float64 } // a submission is on its way to this appliance
-	told   struct {               // an outcome, with the record of the appliance that gave it
+	turned struct{} // a txn was turned away
+	sent   struct {
+		work float64
+		sla  Micros
+	} // a submission is on its way to this appliance
+	told struct { // an outcome, with the record of the appliance that gave it
 		Ended
 		by      *appliance
 		product int  // -1: the txn is over and forgotten
@@ -78,6 +81,7 @@
 	cutAt       Micros
 	errs        float64 // moving share of errors
 	said        float64 // its log-likelihood ratio against its build, in this stage
+	waits, sla  Micros  // no answer since, with submissions out; the SLA time of the last
 	strikes     int     // silent outcomes in a row
 	heard       Micros  // its last answer
 	full, aside Micros  // left alone until then
