--- a/brain/brain.go
+++ b/brain/brain.go
@@ -592,7 +592,9 @@
 			}
 		}
 		if j.hear(n) {
-			j.seen, j.cast = 0, NoVote
+			if j.seen, j.cast = 0, NoVote; n.Stage == 0 {
+				j.early = 0
+			}
 			for _, a := range j.fleet.all {
 				a.put(say{anew: true})
 			}
@@ -630,12 +632,7 @@
 		return
 	}
 	if a.Build < j.build {
-		j.good, j.bad = j.good*baseFade, j.bad*baseFade
-		if failed {
-			j.bad++
-		} else {
-			j.good++
-		}
+		j.good, j.bad = j.good*baseFade+one(!failed), j.bad*baseFade+one(failed)
 		return
 	}
 	if a.Started > 0 && j.now-a.Started < youngServer {
@@ -694,7 +691,8 @@
 	// wholeFleet: with fewer appliances than this part of the calm's, the rest are slow for that reason.
 	wholeFleet = 0.85
 	// dragHolds back the vote to release soon, as a delay is cheap there; dragLasts outlives most passing jams.
-	dragHolds, dragLasts = 0.5e6, 7e6
+	// Felt for dragEarly before the last stage, it has grown with the traffic, and dragSoon is enough.
+	dragHolds, dragLasts, dragEarly, dragSoon = 0.5e6, 9e6, 3e6, 6e6
 	// doneSpan and calmSpan: completions are averaged over these times.
 	doneSpan, calmSpan = 3 * second, 10 * second
 	// settleAfter its release, a build counts as part of the calm.
@@ -709,12 +707,8 @@
 func (j *judge) calmNow() bool { return j.slow == 0 && (j.build == 0 || j.settled()) }
 
 func (j *judge) inTime(yes bool) {
-	now := 0.0
-	if yes {
-		now = 1
-		j.done++
-	}
-	if j.share += (now - j.share) * doseFade; j.calmNow() {
+	j.done += one(yes)
+	if j.share += (one(yes) - j.share) * doseFade; j.calmNow() {
 		j.calmShare = j.share
 	}
 }
@@ -759,6 +753,9 @@
 		sort.Float64s(sorted)
 		median = sorted[dragLast/2]
 	}
+	if median >= dragTimes && j.phase == OnTrial && j.stage < len(j.plan.Caps)-1 {
+		j.early += dt
+	}
 	switch {
 	case median >= dragTimes && j.rate < dragDone*j.calmRate, j.rate < collapse*j.calmRate,
 		full && j.share < shareDone*j.calmShare && j.rate < rateDone*j.calmRate:
@@ -772,11 +769,15 @@
 
 func (j *judge) verdict() Verdict {
 	ratio := j.ratio()
+	lasts := dragLasts
+	if j.early >= dragEarly {
+		lasts = dragSoon
+	}
 	drags, last := !j.settled(), j.stage == len(j.plan.Caps)-1
 	switch {
 	case j.build == 0 || j.spoiled[j.build]:
 		return NoVote
-	case j.seen >= leastSeen && ratio >= crossing, drags && j.slow >= dragLasts:
+	case j.seen >= leastSeen && ratio >= crossing, drags && j.slow >= lasts:
 		return Back
 	case j.phase != OnTrial:
 		return NoVote
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -118,3 +118,10 @@
 	w.spoiled[n.Build] = n.Phase == GoingBack || n.Phase == Withdrawn
 	return fresh
 }
+
+func one(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
--- a/brain/record.go
+++ b/brain/record.go
@@ -163,6 +163,7 @@
 	calm, calmSeen       []float64 // answer times before the release, by product
 	done, rate, calmRate float64   // txns completed: since the last beat, a µs now, a µs in the calm
 	share, calmShare     float64   // of txns answered in time, now and in the calm
+	early                float64   // µs of drag before the last stage
 	times                []float64 // the last answers against those before the release
 	feltAt               Micros    // the last beat
 	dose                 float64   // the build's part of the answers
