--- a/brain/brain.go
+++ b/brain/brain.go
@@ -97,8 +97,9 @@
 	quietPart = 0.8
 	// silentStrikes: one time-out may be a heavy txn, two in a row with no answer between are the appliance.
 	silentStrikes = 2
-	// errFade and errMost: three errors in a row set an appliance aside, the worst builds told of do not.
-	errFade, errMost = 0.2, 0.45
+	// errFade and errMost: three errors in a row make an appliance one that fails, the worst builds told of do
+	// not; five answers make up for it.
+	errFade, errMost, errGone = 0.2, 0.45, 0.2
 )
 
 func (a *appliance) take(n note) {
@@ -172,11 +173,13 @@
 	switch n.Outcome {
 	case OK:
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs*(1-errFade)
+		a.failing = a.failing && a.errs > errGone
 	case Errored:
 		// An appliance that fails fast looks idle and would draw ever more txns. On trial the judge first
 		// gets its evidence.
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs+(1-a.errs)*errFade
-		if a.errs > errMost && (!n.trial || a.said >= crossing) {
+		a.failing = a.failing || a.errs > errMost
+		if a.failing && (!n.trial || a.said >= crossing) {
 			a.setAside()
 		}
 	case TurnedOff:
@@ -443,11 +446,7 @@
 
 // slice is the top build and the fraction of txns that go to it.
 func (d *desk) slice() (top int, share float64) {
-	for _, a := range d.fleet.all {
-		if a.ready() && !d.spoiled[a.Build] {
-			top = max(top, a.Build)
-		}
-	}
+	top = d.fleet.highest(d.spoiled)
 	var ready [leaving + 1]float64
 	for _, a := range d.fleet.all {
 		if a.ready() {
@@ -649,25 +648,31 @@
 	a.put(say{step: step})
 }
 
-// oneSays bounds what one appliance adds against its build where there are others, under a crossing; and no
-// less than a seventh of many must speak, more than machines that go bad by themselves.
-const oneSays, speakers = 2, 7
+// oneSays bounds what one appliance adds against its build where there are others, under a crossing. Those
+// that fail most of what they get count only if they are failMany of all.
+const oneSays, failMany = 2, 1.0 / 3
 
 // ratio adds up what the build's appliances say. It guards against machines that fail by themselves, whatever
-// they run: a bad build fails on more than one. A build with one appliance is judged by that alone. Good
-// outcomes are not saved up beyond the crossing, as a build may turn bad late.
+// they run: a bad build fails on most of its machines alike. A build with one appliance is judged by that
+// alone. Good outcomes are not saved up beyond the crossing, as a build may turn bad late.
 func (j *judge) ratio() (sum float64) {
-	var says []float64
+	var says, failing []float64
 	for _, a := range j.fleet.all {
-		if a.ready() && a.Build == j.build {
+		if a.ready() && a.Build == j.build && a.failing {
+			failing = append(failing, a.said)
+		} else if a.ready() && a.Build == j.build {
 			says = append(says, a.said)
 		}
 	}
+	n := float64(len(says) + len(failing))
+	if float64(len(failing)) >= failMany*n {
+		says = append(says, failing...)
+	}
 	for _, said := range says {
-		if n := float64(len(says)); n > 1 {
-			said = min(said, oneSays, speakers*crossing/n)
+		if n > 1 {
+			said = min(said, oneSays)
 		}
-		sum += max(said, -(crossing+1)/float64(len(says)))
+		sum += max(said, -(crossing+1)/n)
 	}
 	return sum
 }
@@ -786,12 +791,7 @@
 	case j.polling.Ballot == BallotTimer, last && (drags && j.slow >= dragHolds || j.share < shareDone):
 		return NoVote
 	}
-	newest := Micros(math.MinInt64 / 2)
-	for _, a := range j.fleet.all {
-		if a.ready() && a.Build == j.build {
-			newest = max(newest, a.Started)
-		}
-	}
+	newest := j.fleet.newest(j.build)
 	// The last stage releases, and there is no comparing afterwards: there the clock also runs from the newest
 	// start, so that the whole build has carried its traffic for a while. Elsewhere delay costs more.
 	clock := j.now - j.since
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -2,7 +2,10 @@
 
 package brain
 
-import "sort"
+import (
+	"math"
+	"sort"
+)
 
 type inbox struct{ notes []note }
 
@@ -125,3 +128,24 @@
 	}
 	return 0
 }
+
+// newest is the last start among a build's ready appliances.
+func (f *fleet) newest(build int) Micros {
+	newest := Micros(math.MinInt64 / 2)
+	for _, a := range f.all {
+		if a.ready() && a.Build == build {
+			newest = max(newest, a.Started)
+		}
+	}
+	return newest
+}
+
+// highest is the highest build that is ready anywhere, but for some.
+func (f *fleet) highest(but map[int]bool) (top int) {
+	for _, a := range f.all {
+		if a.ready() && !but[a.Build] {
+			top = max(top, a.Build)
+		}
+	}
+	return top
+}
