--- a/brain/brain.go
+++ b/brain/brain.go
@@ -650,7 +650,8 @@
 
 // oneSays bounds what one appliance adds against its build where there are others, under a crossing. Those
 // that fail most of what they get count only if they are failMany of all.
-const oneSays, failMany = 2, 1.0 / 3
+// Of a large build a quarter must speak: machines that go bad by themselves are fewer.
+const oneSays, speakers, failMany = 2, 4, 1.0 / 3
 
 // ratio adds up what the build's appliances say. It guards against machines that fail by themselves, whatever
 // they run: a bad build fails on most of its machines alike. A build with one appliance is judged by that
@@ -670,7 +671,7 @@
 	}
 	for _, said := range says {
 		if n > 1 {
-			said = min(said, oneSays)
+			said = min(said, oneSays, speakers*crossing/n)
 		}
 		sum += max(said, -(crossing+1)/n)
 	}
