--- a/brain/brain.go
+++ b/brain/brain.go
@@ -97,9 +97,8 @@
 	quietPart = 0.8
 	// silentStrikes: one time-out may be a heavy txn, two in a row with no answer between are the appliance.
 	silentStrikes = 2
-	// errFade and errMost: three errors in a row make an appliance one that fails, the worst builds told of do
-	// not; five answers make up for it.
-	errFade, errMost, errGone = 0.2, 0.45, 0.2
+	// errFade and errMost: three errors in a row set an appliance aside, the worst builds told of do not.
+	errFade, errMost = 0.2, 0.45
 )
 
 func (a *appliance) take(n note) {
@@ -173,13 +172,11 @@
 	switch n.Outcome {
 	case OK:
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs*(1-errFade)
-		a.failing = a.failing && a.errs > errGone
 	case Errored:
 		// An appliance that fails fast looks idle and would draw ever more txns. On trial the judge first
 		// gets its evidence.
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs+(1-a.errs)*errFade
-		a.failing = a.failing || a.errs > errMost
-		if a.failing && (!n.trial || a.said >= crossing) {
+		if a.errs > errMost && (!n.trial || a.said >= crossing) {
 			a.setAside()
 		}
 	case TurnedOff:
@@ -590,13 +587,15 @@
 				j.quiet = j.now + fullPause
 			}
 		}
+		same := n.Build == j.build && n.Stage == j.stage
 		if j.hear(n) {
-			if j.seen, j.cast = 0, NoVote; n.Stage == 0 {
+			if j.cast = NoVote; n.Stage == 0 {
 				j.early = 0
 			}
 			for _, a := range j.fleet.all {
-				a.put(say{anew: true})
+				a.put(say{anew: !same}) // a release takes its last stage's evidence along
 			}
+			j.seen *= int(one(same))
 			j.since = max(j.now-n.Age, j.began)
 		}
 	case told:
@@ -648,27 +647,21 @@
 	a.put(say{step: step})
 }
 
-// oneSays bounds what one appliance adds against its build where there are others, under a crossing. Those
-// that fail most of what they get count only if they are failMany of all.
-// Of a large build a quarter must speak: machines that go bad by themselves are fewer.
-const oneSays, speakers, failMany = 2, 4, 1.0 / 3
+// oneSays bounds what one appliance adds against its build where there are others, under a crossing; and of a
+// large build a quarter must speak: machines that go bad by themselves are fewer.
+const oneSays, speakers = 2, 4
 
 // ratio adds up what the build's appliances say. It guards against machines that fail by themselves, whatever
 // they run: a bad build fails on most of its machines alike. A build with one appliance is judged by that
 // alone. Good outcomes are not saved up beyond the crossing, as a build may turn bad late.
 func (j *judge) ratio() (sum float64) {
-	var says, failing []float64
+	var says []float64
 	for _, a := range j.fleet.all {
-		if a.ready() && a.Build == j.build && a.failing {
-			failing = append(failing, a.said)
-		} else if a.ready() && a.Build == j.build {
+		if a.ready() && a.Build == j.build {
 			says = append(says, a.said)
 		}
 	}
-	n := float64(len(says) + len(failing))
-	if float64(len(failing)) >= failMany*n {
-		says = append(says, failing...)
-	}
+	n := float64(len(says))
 	for _, said := range says {
 		if n > 1 {
 			said = min(said, oneSays, speakers*crossing/n)
--- a/brain/record.go
+++ b/brain/record.go
@@ -82,7 +82,6 @@
 	errs        float64 // moving share of errors
 	said        float64 // its log-likelihood ratio against its build, in this stage
 	waits, sla  Micros  // no answer since, with submissions out; the SLA time of the last
-	failing     bool    // it fails most of what it gets
 	strikes     int     // silent outcomes in a row
 	heard       Micros  // its last answer
 	full, aside Micros  // left alone until then
