--- a/brain/brain.go
+++ b/brain/brain.go
@@ -756,7 +756,8 @@
 		j.early += dt
 	}
 	switch {
-	case median >= dragTimes && j.rate < dragDone*j.calmRate, j.rate < collapse*j.calmRate,
+	case median >= dragTimes && j.rate < dragDone*j.calmRate,
+		j.rate < collapse*j.calmRate && j.share < rateDone*j.calmShare, // not just the agent's traffic that ends
 		full && j.share < shareDone*j.calmShare && j.rate < rateDone*j.calmRate:
 		j.slow += dt * j.dose
 	case median >= dragAlone:
