--- a/brain/brain.go
+++ b/brain/brain.go
@@ -184,9 +184,7 @@
 	case NoConnect, Broken:
 		a.setAside()
 	case TimedOut:
-		if a.heard < a.now-n.Took {
-			a.strikes++
-		}
+		a.strikes += int(one(a.heard < a.now-n.Took))
 		if a.strikes >= silentStrikes {
 			a.setAside()
 		}
@@ -561,15 +559,15 @@
 	}
 }
 
+// What outcomes are weighed on. A build needs leastAlike appliances, or its lateness may be theirs alone.
+const failures, lateness, leastAlike = 0, 1, 3
+
 const (
 	// The design's figures.
-	rateFloor, rateTimes = 0.01, 3
-	leastSeen, crossing  = 10, 3
-	holdAbove            = 1
-	onAfter, stageClock  = 3 * second, 5 * second
-	youngServer          = 2 * second // "started seconds ago": past the first cold seconds
-	// baseFade: the earlier build's rate looks back over some hundreds of outcomes.
-	baseFade = 0.997
+	leastSeen, crossing = 10, 3
+	holdAbove           = 1
+	onAfter, stageClock = 3 * second, 5 * second
+	youngServer         = 2 * second // "started seconds ago": past the first cold seconds
 	// renewAt: votes are renewed with a third of their life left, room for one lost answer.
 	renewAt = 0.66
 	// blindWait leaves the others time for a drag to count.
@@ -602,11 +600,17 @@
 		// A time-out says that something is overloaded, not what: late in a release there is no earlier
 		// build left to compare with, and good builds were sent back for it.
 		if n.Outcome == OK || n.Outcome == Errored {
-			j.weigh(n.by, n.Outcome != OK)
+			j.weigh(n.by, failures, n.Outcome != OK)
 		}
 		if n.product >= 0 && (n.Outcome == OK || n.Outcome == TimedOut) {
 			j.time(n)
-			j.inTime(n.Outcome == OK && n.Took <= n.sla)
+			good := n.Outcome == OK && n.Took <= n.sla
+			j.inTime(good)
+			// A slow build that still answers: late by far more than the earlier build is at the same time. Not
+			// at the last stage, where most txns go to one build and a jam shows there first, nor while cold.
+			if j.stage < len(j.plan.Caps)-1 && n.by.pace() >= 1 && j.fleet.count(n.by.Build) >= leastAlike {
+				j.weigh(n.by, lateness, !good)
+			}
 			if n.by.Build == j.build {
 				j.dose += doseFade
 			}
@@ -617,7 +621,7 @@
 	case Flagged:
 		// An answer found wrong was counted as good; the earlier build's false reports count alike.
 		if a := j.fleet.byID[n.Appliance]; a != nil {
-			j.weigh(a, true)
+			j.weigh(a, failures, true)
 		}
 	case beat:
 		j.feel()
@@ -625,19 +629,25 @@
 	j.vote()
 }
 
-func (j *judge) weigh(a *appliance, failed bool) {
+// weigh adds an outcome to what its appliance says, on failures or on lateness.
+func (j *judge) weigh(a *appliance, on int, failed bool) {
 	if j.spoiled[a.Build] || a.Build > j.build {
 		return
 	}
+	// The design's figures; and the earlier build's rate looks back over some hundreds of outcomes.
+	floor, times, fade := 0.01, 3.0, 0.997
+	if on == lateness {
+		floor, times, fade = 0.1, 4, 0.98 // commoner, so it must differ by more; over some fifty, as jams pass
+	}
 	if a.Build < j.build {
-		j.good, j.bad = j.good*baseFade+one(!failed), j.bad*baseFade+one(failed)
+		j.good[on], j.bad[on] = j.good[on]*fade+one(!failed), j.bad[on]*fade+one(failed)
 		return
 	}
-	if a.Started > 0 && j.now-a.Started < youngServer {
+	if a.Started > 0 && j.now-a.Started < youngServer || on == lateness && j.good[on]+j.bad[on] < leastSeen {
 		return
 	}
-	r0 := max(rateFloor, j.bad/max(1, j.good+j.bad))
-	r1 := min(rateTimes*r0, 0.95)
+	r0 := max(floor, j.bad[on]/max(1, j.good[on]+j.bad[on]))
+	r1 := min(times*r0, 0.95)
 	r0 = min(r0, r1/1.05)
 	j.seen++
 	step := math.Log((1 - r1) / (1 - r0))
@@ -769,15 +779,12 @@
 
 func (j *judge) verdict() Verdict {
 	ratio := j.ratio()
-	lasts := dragLasts
-	if j.early >= dragEarly {
-		lasts = dragSoon
-	}
 	drags, last := !j.settled(), j.stage == len(j.plan.Caps)-1
 	switch {
 	case j.build == 0 || j.spoiled[j.build]:
 		return NoVote
-	case j.seen >= leastSeen && ratio >= crossing, drags && j.slow >= lasts:
+	case j.seen >= leastSeen && ratio >= crossing, drags && j.slow >= dragLasts,
+		drags && j.early >= dragEarly && j.slow >= dragSoon:
 		return Back
 	case j.phase != OnTrial:
 		return NoVote
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -149,3 +149,11 @@
 	}
 	return top
 }
+
+// count is the number of a build's ready appliances.
+func (f *fleet) count(build int) (n int) {
+	for _, a := range f.all {
+		n += int(one(a.ready() && a.Build == build))
+	}
+	return n
+}
--- a/brain/record.go
+++ b/brain/record.go
@@ -157,7 +157,7 @@
 	polling              Polling
 	since                Micros // the stage's start, or this agent's if later
 	seen                 int
-	good, bad            float64 // the earlier build's outcomes, fading
+	good, bad            [2]float64 // the earlier build's outcomes, fading
 	cast                 Verdict
 	castAt, quiet        Micros
 	calm, calmSeen       []float64 // answer times before the release, by product
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -214,7 +214,11 @@
 				if s.builds[a] == int(s.val(m, "fail", -1)) || a == uint32(s.val(m, "failat", 0)) {
 					how = Errored
 				}
-				s.end(id, how, Micros(s.val(m, "took", 20))*ms)
+				took := Micros(s.val(m, "took", 20)) * ms
+				if s.builds[a] == int(s.val(m, "slow", -1)) {
+					took = 1500 * ms
+				}
+				s.end(id, how, took)
 			}
 			s.until(s.now + Micros(s.val(m, "every", 20))*ms)
 		}
