--- a/brain/brain.go
+++ b/brain/brain.go
@@ -286,12 +286,12 @@
 	}
 	a.put(k)
 	d.judge.put(k)
-	if n.Outcome == OK && (t == nil || t.Work == 0) {
-		d.usual += (float64(n.Took) - d.usual) * usualFade
-	}
 	if t == nil {
 		return
 	}
+	if n.Outcome == OK && t.Work == 0 {
+		d.usual += (float64(n.Took) - d.usual) * usualFade
+	}
 	if n.Outcome == OK && d.plan.OneWay && t.Key != 0 && a.Build > d.bound[t.Key] {
 		d.bound[t.Key] = a.Build
 	}
@@ -608,7 +608,7 @@
 			j.inTime(good)
 			// A slow build that still answers: late by far more than the earlier build is at the same time. Not
 			// at the last stage, where most txns go to one build and a jam shows there first, nor while cold.
-			if j.stage < len(j.plan.Caps)-1 && n.by.pace() >= 1 && j.fleet.count(n.by.Build) >= leastAlike {
+			if j.stage < len(j.plan.Caps)-1 && n.by.pace() >= 1 {
 				j.weigh(n.by, lateness, !good)
 			}
 			if n.by.Build == j.build {
@@ -643,7 +643,8 @@
 		j.good[on], j.bad[on] = j.good[on]*fade+one(!failed), j.bad[on]*fade+one(failed)
 		return
 	}
-	if a.Started > 0 && j.now-a.Started < youngServer || on == lateness && j.good[on]+j.bad[on] < leastSeen {
+	if a.Started > 0 && j.now-a.Started < youngServer ||
+		on == lateness && (j.good[on]+j.bad[on] < leastSeen || j.fleet.count(a.Build) < leastAlike) {
 		return
 	}
 	r0 := max(floor, j.bad[on]/max(1, j.good[on]+j.bad[on]))
@@ -690,9 +691,8 @@
 	// less traffic only the other. Nothing is released either while less than shareDone are in time.
 	shareDone, rateDone = 0.6, 0.85
 	// collapse: with so little answered in time it need not be told apart any more from what else is wrong.
-	collapse = 0.5
-	// dragClears: a jam that has passed is forgotten faster than it was felt.
-	dragClears = 4
+	collapse   = 0.5
+	dragClears = 4 // a jam that has passed is forgotten faster than it was felt
 	// dragAlone is slow enough without a drop, as long as the fleet has slack; it counts for less.
 	dragAlone, aloneCounts = 1.6, 0.7
 	// doseFade: the build's part of the answers, over the last fifty.
