--- a/brain/brain.go
+++ b/brain/brain.go
@@ -255,10 +255,6 @@
 		d.ended(n)
 	case Abandoned:
 		delete(d.txns, n.ID)
-	case Begun:
-		if t := d.txns[n.ID]; t != nil {
-			t.begun = true
-		}
 	case Staged:
 		d.hear(n) // a lower cap binds at once, and what was sent before still counts: never too much
 	case beat:
@@ -341,7 +337,7 @@
 func (d *desk) may(t *txn, a *appliance) bool {
 	p := &d.products[t.Product]
 	// Rule 1: nothing goes out after the end. Rule 2: never two at once.
-	if d.txns[t.ID] != t || t.begun || d.now >= t.Expires || t.on != nil || t.seq >= d.hand.MaxSubmissions {
+	if d.txns[t.ID] != t || d.now >= t.Expires || t.on != nil || t.seq >= d.hand.MaxSubmissions {
 		return false
 	}
 	// Rule 2: what may have run goes only where a repeat does no harm.
@@ -460,7 +456,7 @@
 }
 
 func (d *desk) route(t *txn) {
-	if d.txns[t.ID] != t || t.on != nil || t.begun {
+	if d.txns[t.ID] != t || t.on != nil {
 		return
 	}
 	if t.seq > 0 && d.now >= t.at+d.products[t.Product].SLA {
@@ -508,21 +504,18 @@
 // counts by the weight, so a ramping appliance's arcs are short.
 func (d *desk) pick(t *txn, want, top int) *appliance {
 	var open []*appliance
-	var held, weight float64
-	var total, room float64
+	var held, weight, total, room float64
 	for _, a := range d.fleet.all {
 		if a.ready() && a.now >= a.aside {
 			total, room = total+float64(a.out), room+a.limit
 		}
-	}
-	if total+1 > max(1, room) {
-		return nil // limits under one each: all agents' ones together would still be a queue
-	}
-	for _, a := range d.fleet.all {
 		if a.healthy() && d.rank(a.Build, top) == want && d.may(t, a) {
 			open, held, weight = append(open, a), held+float64(a.out), weight+a.weight()
 		}
 	}
+	if total+1 > max(1, room) {
+		return nil // limits under one each: all agents' ones together would still be a queue
+	}
 	var best *appliance
 	bestBy := math.Inf(1)
 	for _, a := range open {
--- a/brain/record.go
+++ b/brain/record.go
@@ -116,7 +116,6 @@
 	ran        *Row // where it may have run first
 	ranAt      Micros
 	tried      []*appliance
-	begun      bool
 }
 
 // entry of the exposure ledger: a submission at a build, or a txn taken.
