--- a/brain/brain.go
+++ b/brain/brain.go
@@ -97,8 +97,9 @@
 	quietPart = 0.8
 	// silentStrikes: one time-out may be a heavy txn, two in a row with no answer between are the appliance.
 	silentStrikes = 2
-	// errFade and errMost: three errors in a row set an appliance aside, the worst builds told of do not.
-	errFade, errMost = 0.2, 0.45
+	// errFade, errMost, errSome: two errors in a row are some, three set an appliance aside, the worst builds
+	// told of do not.
+	errFade, errMost, errSome = 0.2, 0.45, 0.3
 )
 
 func (a *appliance) take(n note) {
@@ -660,8 +661,12 @@
 // alone. Good outcomes are not saved up beyond the crossing, as a build may turn bad late.
 func (j *judge) ratio() (sum float64) {
 	var says []float64
+	around := false // machines of the earlier build fail too: then those that fail here are no sign of the build
 	for _, a := range j.fleet.all {
-		if a.ready() && a.Build == j.build {
+		around = around || a.ready() && a.Build < j.build && a.errs > errMost
+	}
+	for _, a := range j.fleet.all {
+		if a.ready() && a.Build == j.build && !(around && a.errs > errSome) {
 			says = append(says, a.said)
 		}
 	}
