--- a/brain/brain.go
+++ b/brain/brain.go
@@ -554,7 +554,8 @@
 }
 
 // What outcomes are weighed on. A build needs leastAlike appliances, or its lateness may be theirs alone.
-const failures, lateness, leastAlike = 0, 1, 3
+// Of the stage's first ripe outcomes lateness counts less.
+const failures, lateness, leastAlike, ripe = 0, 1, 3, 20
 
 const (
 	// The design's figures.
@@ -649,6 +650,9 @@
 	if failed {
 		step = math.Log(r1 / r0)
 	}
+	if on == lateness {
+		step *= min(1, float64(j.seen)/ripe) // the first late ones may all be of one queue
+	}
 	a.put(say{step: step})
 }
 
@@ -661,10 +665,8 @@
 // alone. Good outcomes are not saved up beyond the crossing, as a build may turn bad late.
 func (j *judge) ratio() (sum float64) {
 	var says []float64
-	around := false // machines of the earlier build fail too: then those that fail here are no sign of the build
-	for _, a := range j.fleet.all {
-		around = around || a.ready() && a.Build < j.build && a.errs > errMost
-	}
+	// Machines of the earlier build fail too: then those that fail here are no sign of the build.
+	around := j.fleet.failing(j.build, errMost)
 	for _, a := range j.fleet.all {
 		if a.ready() && a.Build == j.build && !(around && a.errs > errSome) {
 			says = append(says, a.said)
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -157,3 +157,13 @@
 	}
 	return n
 }
+
+// failing tells whether a ready appliance with an earlier build answers errors for more than the given share.
+func (f *fleet) failing(build int, share float64) bool {
+	for _, a := range f.all {
+		if a.ready() && a.Build < build && a.errs > share {
+			return true
+		}
+	}
+	return false
+}
