--- a/brain/brain.go
+++ b/brain/brain.go
@@ -8,6 +8,7 @@
 package brain
 
 import (
+	"cmp"
 	"math"
 	"math/rand"
 	"sort"
@@ -29,7 +30,7 @@
 	g.desk = &desk{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet, judge: g.judge,
 		post: st, products: products, hand: hand, cold: cold, count: count,
 		awayCost: 1 + awayPerFare*fares.CrossZone, ledger: make([][]entry, len(products)),
-		txns: map[uint64]*txn{}, away: map[uint64]Micros{}, returns: 0.5, bound: map[uint64]int{}}
+		txns: map[uint64]*txn{}, away: map[uint64]parting{}, returns: 0.5, bound: map[uint64]int{}}
 	for _, p := range products {
 		g.desk.usual = max(g.desk.usual, float64(p.SLA)/4) // until txns tell
 	}
@@ -182,13 +183,11 @@
 		}
 	case TurnedOff:
 		a.full = a.now + fullFor
-	case NoConnect, Broken:
-		a.setAside()
 	case TimedOut:
 		a.strikes += int(one(a.heard < a.now-n.Took))
-		if a.strikes >= silentStrikes {
-			a.setAside()
-		}
+	}
+	if n.Outcome == NoConnect || n.Outcome == Broken || a.strikes >= silentStrikes {
+		a.setAside()
 	}
 }
 
@@ -236,16 +235,14 @@
 func (d *desk) take(n note) {
 	switch n := n.(type) {
 	case Taken:
-		h := n.Key
-		if h == 0 {
-			h = n.ID
-		}
+		h := cmp.Or(n.Key, n.ID)
 		t := &txn{Taken: n, at: d.now, spot: mix(h ^ ringSalt), fraction: float64(mix(h^sliceSalt)>>11) / (1 << 53)}
 		if n.Work > 0 {
 			d.usual += (float64(n.Work) - d.usual) * usualFade
 		}
 		t.who = mix(mix(h+uint64(n.Product)) + uint64(n.Customer))
-		if _, back := d.away[t.who]; back {
+		if last, back := d.away[t.who]; back {
+			t.at = last.first // to the client it is the same txn, and its time runs from the first try
 			delete(d.away, t.who)
 			d.returns += (1 - d.returns) * returnFade
 		}
@@ -409,8 +406,8 @@
 // expect counts those turned away who have not come back in the time that they had.
 func (d *desk) expect() {
 	for len(d.left) > 0 && d.left[0].at < d.now-d.hand.MaxHoldOff-backWithin {
-		if d.away[d.left[0].who] == d.left[0].at {
-			delete(d.away, d.left[0].who)
+		if last := d.left[0]; d.away[last.who] == last {
+			delete(d.away, last.who)
 			d.returns *= 1 - returnFade
 		}
 		d.left = d.left[1:]
@@ -460,8 +457,8 @@
 	if d.txns[t.ID] != t || t.on != nil {
 		return
 	}
-	if t.seq > 0 && d.now >= t.at+d.products[t.Product].SLA {
-		d.answer(t) // too late to go again: more work for no worth
+	if d.now >= t.at+d.products[t.Product].SLA && (t.seq > 0 || d.now-d.jammed < jamFor) {
+		d.answer(t) // too late to go again, or at all in a jam: more work for no worth
 		return
 	}
 	top, share := d.slice()
@@ -476,14 +473,15 @@
 		}
 	}
 	if d.hopeless(t) {
+		d.jammed = d.now
 		d.answer(t)
 		return
 	}
 	d.held = append(d.held, t)
 }
 
-// holdPart of its SLA time is the longest that a txn is held: the rest is for its answer.
-const holdPart = 0.5
+// holdPart of its SLA time is the longest that a txn is held. For jamFor after one is given up it is a jam.
+const holdPart, jamFor = 0.5, 1 * second
 
 // hopeless: no appliance may take the txn now and none will in time.
 func (d *desk) hopeless(t *txn) bool {
@@ -544,7 +542,8 @@
 	p := &d.products[t.Product]
 	delete(d.txns, t.ID)
 	d.judge.put(turned{})
-	d.away[t.who], d.left = d.now, append(d.left, parting{d.now, t.who})
+	last := parting{d.now, t.at, t.who}
+	d.away[t.who], d.left = last, append(d.left, last)
 	if t.ran == nil || p.Effect == InquiryLike ||
 		p.Effect == Referenced && p.Group == ScopeAll && d.now < t.ranAt+p.Memory {
 		d.give(Decline{ID: t.ID, HoldOff: d.hand.MaxHoldOff}) // a jam; nothing sooner would find it gone
--- a/brain/record.go
+++ b/brain/record.go
@@ -140,11 +140,12 @@
 	ledger   [][]entry
 	txns     map[uint64]*txn
 	held     []*txn
-	bound    map[uint64]int    // one-way: the build that answered a key
-	away     map[uint64]Micros // clients turned away who may come back
-	left     []parting         // the same in order of time
-	returns  float64           // the moving share of those who come back
-	usual    float64           // moving mean of told work, or else of answer times
+	bound    map[uint64]int     // one-way: the build that answered a key
+	away     map[uint64]parting // clients turned away who may come back
+	left     []parting          // the same in order of time
+	returns  float64            // the moving share of those who come back
+	jammed   Micros             // when a txn was last given up
+	usual    float64            // moving mean of told work, or else of answer times
 }
 
 // judge weighs the build on trial and votes.
@@ -170,6 +171,6 @@
 }
 
 type parting struct {
-	at  Micros
-	who uint64
+	at, first Micros // when it was turned away, and first taken
+	who       uint64
 }
