--- a/brain/brain.go
+++ b/brain/brain.go
@@ -554,7 +554,7 @@
 
 // What outcomes are weighed on. A build needs leastAlike appliances, or its lateness may be theirs alone.
 // Of the stage's first ripe outcomes lateness counts less.
-const failures, lateness, leastAlike, ripe = 0, 1, 3, 20
+const failures, lateness, leastAlike, ripe, mostEarlier = 0, 1, 3, 20, 0.25
 
 const (
 	// The design's figures.
@@ -600,9 +600,9 @@
 			j.time(n)
 			good := n.Outcome == OK && n.Took <= n.sla
 			j.inTime(good)
-			// A slow build that still answers: late by far more than the earlier build is at the same time. Not
-			// at the last stage, where most txns go to one build and a jam shows there first, nor while cold.
-			if j.stage < len(j.plan.Caps)-1 && n.by.pace() >= 1 {
+			// A slow build that still answers: late by far more than the earlier build is at the same time. Only
+			// while that carries most, or its machines have the less to do; nor while cold.
+			if j.dose < mostEarlier && n.by.pace() >= 1 {
 				j.weigh(n.by, lateness, !good)
 			}
 			if n.by.Build == j.build {
