--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -5,6 +5,8 @@
 	"encoding/hex"
 	"strings"
 	"testing"
+
+	"switchfork/brain"
 )
 
 const env = `Me=0
@@ -113,3 +115,15 @@
 		}
 	}
 }
+
+type broken struct{}
+
+func (broken) Handle(brain.Micros, brain.Event) []brain.Order { panic("index out of range") }
+
+func TestPanicBecomesBroken(t *testing.T) {
+	w := &writer{}
+	handle(broken{}, 0, brain.Bell{}, 3, w)
+	if got, want := hex.EncodeToString(w.buf), "05160000000300"+"1200"+hex.EncodeToString([]byte("index out of range")); got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
