--- a/brain/brain.go
+++ b/brain/brain.go
@@ -10,63 +10,18 @@
 import (
 	"cmp"
 	"math"
-	"math/rand"
+	"slices"
 	"sort"
 )
 
-const (
-	ms     Micros = 1000
-	second        = 1000 * ms
-)
-
-// New starts an agent's decisions from what it is told at its start.
-func New(st Station, products []Product, plan LaunchPlan, polling Polling, count Exposure, cold ColdStart,
-	hand Handover, may Licence, fares Fares) Router {
-	g := &agent{line: &line{chance: rand.New(rand.NewSource(st.Seed)), began: -1}}
-	g.fleet = &fleet{line: g.line, byID: map[uint32]*appliance{}, probes: may.Probe, cold: cold,
-		points: ringPoints, salt: ringSalt, least: 1 / float64(st.Agents)} // one open of all agents together
-	g.judge = &judge{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet,
-		polling: polling, share: 1, calm: make([]float64, len(products)), calmSeen: make([]float64, len(products))}
-	g.desk = &desk{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet, judge: g.judge,
-		post: st, products: products, hand: hand, cold: cold, count: count,
-		awayCost: 1 + awayPerFare*fares.CrossZone, ledger: make([][]entry, len(products)),
-		txns: map[uint64]*txn{}, away: map[uint64]parting{}, returns: 0.5, bound: map[uint64]int{}}
-	for _, p := range products {
-		g.desk.usual = max(g.desk.usual, float64(p.SLA)/4) // until txns tell
-	}
-	g.lister = &lister{line: g.line, ask: may.Ask}
-	g.parts = []part{g.fleet, g.judge, g.desk, g.lister}
-	return g
-}
-
-// beatEvery is how often held txns and votes are looked at: well inside the shortest SLA time and grace.
-const beatEvery = 10 * ms
-
-func (g *agent) Handle(now Micros, ev Event) []Order {
-	g.now, g.out = now, nil
-	_, ring := ev.(Bell)
-	if g.began < 0 {
-		g.began, ring = now, true
-	}
-	for _, p := range g.parts {
-		p.put(ev) // each takes what concerns it
-		if ring {
-			p.put(beat{})
-		}
-	}
-	if ring {
-		g.give(Wake{At: now + beatEvery})
-	}
-	for g.step() {
-	}
-	return g.out
-}
+// beatEvery is how often held txns are looked at: well inside the shortest SLA time and grace; restEvery how
+// often votes and set-aside appliances are while none is held, as agents with little traffic are many.
+const beatEvery, restEvery = 10 * ms, 50 * ms
 
 // Fixed salts, alike on all agents and unlike each other: with one salt the slice's keys would crowd one arc.
 const sliceSalt, ringSalt = 0x51ce, 0x2176
 
-// ringPoints: at 64 points the arcs' spread is about an eighth, near what a score of appliances needs; the
-// paper's formula shows that more buys little.
+// ringPoints: at 64 the arcs' spread is an eighth; the paper's formula shows that more buys little.
 const ringPoints = 64
 
 // pace is the part of its capacity that a starting appliance surely has.
@@ -87,19 +42,16 @@
 }
 
 const (
-	// asideFor and asideSpread: the users' practice of a fixed time with a random part; a second is the
-	// order of a restart's first signs, and short against the list's lag.
+	// asideFor and asideSpread: the users' practice; a second is the order of a restart's first signs.
 	asideFor, asideSpread = 1 * second, 500 * ms
-	// fullFor: a full appliance works off a txn or two in this time; asked again sooner it only says no.
+	// fullFor: a full appliance works off a txn or two in this time.
 	fullFor = 300 * ms
-	// quietPart of the SLA time with submissions out and no answer at all: it gets no more until it answers.
-	// Guards against whatever makes an appliance go quiet (frozen, cut off, stuck on one heavy txn) before
-	// time-outs tell; it may spare one that only has a long txn or two.
+	// quietPart of the SLA time with submissions out and no answer: no more until it answers. Guards against all
+	// that makes it go quiet (frozen, cut off, stuck) before time-outs tell; it may spare one with a long txn.
 	quietPart = 0.8
-	// silentStrikes: one time-out may be a heavy txn, two in a row with no answer between are the appliance.
+	// silentStrikes: one time-out may be a heavy txn, two in a row are the appliance.
 	silentStrikes = 2
-	// errFade, errMost, errSome: two errors in a row are some, three set an appliance aside, the worst builds
-	// told of do not.
+	// errFade, errMost, errSome: two errors in a row are some, three set it aside.
 	errFade, errMost, errSome = 0.2, 0.45, 0.3
 )
 
@@ -132,17 +84,15 @@
 			a.give(Probe{Appliance: a.ID})
 		}
 	case Probed:
-		if a.asking && n.Outcome != OK {
+		// An error is an answer too: checks may fail where txns are served.
+		if a.aside = 0; a.asking && n.Outcome != OK && n.Outcome != Errored {
 			a.setAside()
-		} else if a.asking {
-			a.aside = 0
 		}
 		a.asking = false
 	}
 }
 
-// setAside: it comes back on trust for one txn at a time, and one more silence sets it aside again, as probes
-// may be answered beside a queue that does not move.
+// setAside: it comes back for one txn at a time, as probes may be answered beside a queue that does not move.
 func (a *appliance) setAside() {
 	a.strikes, a.limit, a.aside = silentStrikes-1, a.least, a.now+asideFor+a.upTo(asideSpread)
 }
@@ -157,10 +107,8 @@
 )
 
 // learn keeps the limit of open submissions: up by one a round of quick answers, down by a part on late ones.
-// It guards against any appliance that answers too slowly, for whatever reason (slowed, frozen, overloaded,
-// cold, a heavy build): txns then wait at the agent, where they can still go elsewhere. It may harm where
-// a product's own work nears its SLA time. Silence, broken connections and answers that are mostly errors
-// set the appliance aside.
+// It guards against any appliance that answers too slowly (slowed, overloaded, cold, a heavy build): txns
+// then go elsewhere. It may harm where a product's own work nears its SLA time.
 func (a *appliance) learn(n told) {
 	took, sla := float64(n.Took), float64(n.sla)
 	switch {
@@ -175,8 +123,7 @@
 	case OK:
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs*(1-errFade)
 	case Errored:
-		// An appliance that fails fast looks idle and would draw ever more txns. On trial the judge first
-		// gets its evidence.
+		// One that fails fast looks idle and draws ever more txns. On trial the judge first gets its evidence.
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs+(1-a.errs)*errFade
 		if a.errs > errMost && (!n.trial || a.said >= crossing) {
 			a.setAside()
@@ -191,8 +138,7 @@
 	}
 }
 
-// askAgain: a failed call is made again after this time, doubled for each failure in a row up to eight times,
-// with a random part, so that agents do not flood a list service in trouble.
+// askAgain, doubled for each failure in a row up to eight times, with a random part: no flood of calls.
 const askAgain = 400 * ms
 
 func (r *lister) take(n note) {
@@ -223,10 +169,24 @@
 	return 1, len(w.plan.Caps), false
 }
 
-const takenMark = -1
+const (
+	// slowFade: some twenty answers. slowMost: a busy zone that is well is late with a tenth. zoneStep halves a
+	// limit in some twenty answers. fewOpen an appliance, of all agents, leave no queue. manyOpen is no limit.
+	slowFade, slowMost, zoneStep, fewOpen, manyOpen = 0.05, 0.25, 0.03, 4, 1e6
+)
+
+// feel keeps the zone's limit of own open submissions by the share of late answers. It guards against all
+// that loads a zone or the fleet (moved traffic, next tries), where one agent meets none often enough:
+// txns go to another zone, or wait and are declined. It may hold back what is late by its own work.
+func (z *zone) feel(slow bool, least float64) {
+	if z.slow += (one(slow) - z.slow) * slowFade; z.slow > slowMost {
+		z.limit = max(least, min(z.limit, float64(z.out+1))*(1-zoneStep))
+	} else {
+		z.limit = min(z.limit*(1+3*zoneStep), manyOpen)
+	}
+}
 
-// awayPerFare: at a fare of a tenth of a txn another zone's arcs shrink to a fifth, yet its idle appliances
-// come before the busy ones at home.
+// awayPerFare: at a fare of a tenth of a txn another zone's arcs shrink to a fifth.
 const awayPerFare = 40
 
 // usualFade: the usual work looks back over some fifty txns.
@@ -236,23 +196,29 @@
 	switch n := n.(type) {
 	case Taken:
 		h := cmp.Or(n.Key, n.ID)
-		t := &txn{Taken: n, at: d.now, spot: mix(h ^ ringSalt), fraction: float64(mix(h^sliceSalt)>>11) / (1 << 53)}
+		t := &txn{Taken: n, at: d.now, spot: mix(n.ID ^ ringSalt)}
+		t.fraction = float64(mix(h^sliceSalt)>>11) / (1 << 53)
 		if n.Work > 0 {
 			d.usual += (float64(n.Work) - d.usual) * usualFade
 		}
 		t.who = mix(mix(h+uint64(n.Product)) + uint64(n.Customer))
-		if last, back := d.away[t.who]; back {
+		if last, back := d.gone[t.who]; back {
 			t.at = last.first // to the client it is the same txn, and its time runs from the first try
-			delete(d.away, t.who)
+			delete(d.gone, t.who)
 			d.returns += (1 - d.returns) * returnFade
 		}
+		if d.post.WarmKeys && n.Key != 0 { // elsewhere a key's own place only strains it when the key is hot
+			t.spot = mix(mix(h^ringSalt) - 1 - d.arc(n.Key)) // never an appliance's own point
+		}
 		d.txns[n.ID] = t
 		d.enter(n.Product, takenMark)
 		d.route(t)
 	case Ended:
 		d.ended(n)
 	case Abandoned:
-		delete(d.txns, n.ID)
+		if t := d.txns[n.ID]; t != nil {
+			d.close(t)
+		}
 	case Staged:
 		d.hear(n) // a lower cap binds at once, and what was sent before still counts: never too much
 	case beat:
@@ -268,11 +234,32 @@
 	}
 }
 
+// keyPart of an appliance is the most that one key should fill: beside it, the arc carries its usual load.
+const keyPart = 0.3
+
+// arc guards against keys that draw more than one appliance can do: an agent takes as many arcs for a key as
+// it took its txns in the time in which all agents, alike, fill keyPart of one. It may cost a warm place.
+func (d *desk) arc(key uint64) uint64 {
+	r := d.recent[key]
+	span := d.usual * float64(d.post.Agents) / keyPart
+	r.load = r.load*max(0, 1-float64(d.now-r.at)/span) + 1
+	r.at, r.seq = d.now, r.seq+1
+	d.recent[key] = r
+	return (r.seq - 1) % uint64(math.Ceil(r.load))
+}
+
 func (d *desk) ended(n Ended) {
 	a, t := d.fleet.byID[n.Appliance], d.txns[n.ID]
 	if a == nil {
 		return
 	}
+	if t != nil && n.Outcome == OK && d.plan.OneWay && t.Key != 0 && a.Build > d.bound[t.Key] {
+		d.bound[t.Key] = a.Build
+	}
+	if t != nil && t.closed {
+		delete(d.txns, n.ID)
+		t = nil // the txn is over for all else
+	}
 	k := told{Ended: n, by: a, product: -1}
 	_, _, k.trial = d.capped(a.Build)
 	if t != nil {
@@ -280,15 +267,16 @@
 	}
 	a.put(k)
 	d.judge.put(k)
+	z := d.zone(a.Zone)
+	if z.out--; k.sla > 0 && n.Outcome != Errored && n.Outcome != Moot {
+		z.feel(n.Outcome != OK || n.Took > k.sla, max(1, fewOpen*d.fleet.part(a.Zone, d.post.Agents)))
+	}
 	if t == nil {
 		return
 	}
 	if n.Outcome == OK && t.Work == 0 {
 		d.usual += (float64(n.Took) - d.usual) * usualFade
 	}
-	if n.Outcome == OK && d.plan.OneWay && t.Key != 0 && a.Build > d.bound[t.Key] {
-		d.bound[t.Key] = a.Build
-	}
 	if n.Over {
 		delete(d.txns, n.ID)
 		return
@@ -306,14 +294,6 @@
 // windowEdge: two beats longer than the told window, so that no rounding of its ends matters.
 const windowEdge = 2 * beatEvery
 
-func (d *desk) enter(product, build int) {
-	l := d.slot(product)
-	for len(*l) > 0 && (*l)[0].at < d.now-d.count.Window-windowEdge {
-		*l = (*l)[1:]
-	}
-	*l = append(*l, entry{d.now, build})
-}
-
 // room holds the cap over every window that begins in the last one, whatever comes later.
 func (d *desk) room(product, build int, cap float64) bool {
 	balance, l := 1.0, *d.slot(product)
@@ -333,13 +313,28 @@
 
 // may holds the five rules; every submission passes it.
 func (d *desk) may(t *txn, a *appliance) bool {
-	p := &d.products[t.Product]
-	// Rule 1: nothing goes out after the end. Rule 2: never two at once.
-	if d.txns[t.ID] != t || d.now >= t.Expires || t.on != nil || t.seq >= d.hand.MaxSubmissions {
-		return false
+	return d.mayGo(t) && d.mayTry(t, a.Build) && d.mayAt(t, a)
+}
+
+// mayGo: rule 1, nothing goes out after the end; rule 2, never two at once.
+func (d *desk) mayGo(t *txn) bool {
+	return !t.closed && d.txns[t.ID] == t && d.now < t.Expires && t.on == nil && t.seq < d.hand.MaxSubmissions
+}
+
+// mayTry: rule 5, the cap, the guarded stages, and the one way.
+func (d *desk) mayTry(t *txn, build int) bool {
+	if cap, stage, bound := d.capped(build); bound {
+		if stage < d.plan.Guarded && d.products[t.Product].Effect != InquiryLike || !d.room(t.Product, build, cap) {
+			return false
+		}
 	}
+	b := d.bound[t.Key]
+	return t.Key == 0 || build >= b || d.spoiled[b]
+}
+
+func (d *desk) mayAt(t *txn, a *appliance) bool {
 	// Rule 2: what may have run goes only where a repeat does no harm.
-	if t.ran != nil && p.Effect != InquiryLike {
+	if p := &d.products[t.Product]; t.ran != nil && p.Effect != InquiryLike {
 		same := p.Group == ScopeAll || p.Group == ScopeZone && a.Zone == t.ran.Zone ||
 			p.Group == ScopeCell && a.Cell == t.ran.Cell
 		if p.Effect == OnceOnly || !same || d.now >= t.ranAt+p.Memory {
@@ -351,27 +346,44 @@
 		return false
 	}
 	// Rule 4: each agent keeps to its part of what a cold appliance can take before it falls over.
-	if pace := a.pace(); pace < 1 && len(a.sends) > 0 {
-		work := d.work(t)
-		for _, s := range a.sends {
-			work += s.work
-		}
-		if work > coldShare*d.cold.Multiple*pace*float64(d.cold.After)/float64(d.post.Agents) {
-			return false
-		}
+	if d.turns(a) {
+		return d.turn(a)
 	}
-	// Rule 5: the cap, the guarded stages, and the one way.
-	if cap, stage, bound := d.capped(a.Build); bound {
-		if stage < d.plan.Guarded && p.Effect != InquiryLike || !d.room(t.Product, a.Build, cap) {
-			return false
-		}
+	work := d.work(t)
+	for _, s := range a.sends {
+		work += s.work
 	}
-	b := d.bound[t.Key]
-	return t.Key == 0 || a.Build >= b || d.spoiled[b]
+	return a.pace() == 1 || len(a.sends) == 0 || work <= d.coldPart(a)
 }
 
-// work is what a txn is expected to need, and never under the usual: hints are rough, and a budget that only
-// small ones pass would be filled with those that are not as small as told.
+// coldPart is an agent's part of what a cold appliance can take; where it is under one txn, they take turns.
+func (d *desk) coldPart(a *appliance) float64 {
+	return coldShare * d.cold.Multiple * a.pace() * float64(d.cold.After) / float64(d.post.Agents)
+}
+
+func (d *desk) turns(a *appliance) bool { return a.pace() < 1 && d.coldPart(a) < d.usual }
+
+// coldLoad is the load that turns give a cold appliance: what a busy fleet carries, well inside any multiple.
+const coldLoad = 0.6
+
+// turn guards a cold appliance against all agents together, also in hot keys and moved traffic: one txn in an
+// agent's turn, which comes by the agents' numbers and lasts for the told span. Only agents of its zone take
+// part, as about that part of all. It leaves the appliance idle where those in turn have no txn.
+func (d *desk) turn(a *appliance) bool {
+	if a.Zone != d.post.Zone || len(a.sends) > 0 && a.sends[len(a.sends)-1].at > d.now-d.cold.After {
+		return false
+	}
+	_, place := math.Modf(float64(d.post.Me)*math.Phi + float64(mix(uint64(a.ID))>>40)/(1<<24))
+	due := func(age float64) float64 {
+		age = max(0, age)
+		paced := age * (d.cold.From + (1-d.cold.From)*age/2/float64(d.cold.Warm))
+		return math.Floor(place + coldLoad*paced*float64(d.fleet.zones)/d.usual/float64(d.post.Agents))
+	}
+	age := float64(d.now - a.Started)
+	return due(age) > due(age-float64(d.cold.After))
+}
+
+// work is what a txn is expected to need, never under the usual: a budget would fill with the falsely small.
 func (d *desk) work(t *txn) float64 { return max(float64(t.Work), d.usual) }
 
 func (d *desk) submit(t *txn, a *appliance) {
@@ -383,43 +395,28 @@
 	if _, _, bound := d.capped(a.Build); bound {
 		d.enter(t.Product, a.Build)
 	}
+	d.zone(a.Zone).out++
 	a.put(sent{d.work(t), d.products[t.Product].SLA})
 	d.give(Submit{ID: t.ID, Appliance: a.ID, Patience: d.patience(t)})
 }
 
 const (
 	// returnFade: the last ten clients turned away. backWithin, after the longest wait that they follow.
-	returnFade, backWithin = 0.1, 500 * ms
-	// fewReturn: below it, ending late work frees more than the clients' next tries cost.
+	returnFade, backWithin, returnsFirst = 0.1, 500 * ms, 0.5
+	// fewReturn: below it, ending late work frees more than next tries cost. Those who are spread over a zone's
+	// agents come back to any of them, so that one sees only its part.
 	fewReturn = 0.3
 )
 
-// patience is how long a submission is waited for: to the client's expiry, or, where clients turned away are
-// seen not to come back, to the SLA time, so that late work does not hold up other txns.
+// patience: to the client's expiry, or, where clients turned away do not come back, to the SLA time.
 func (d *desk) patience(t *txn) Micros {
-	if left := t.at + d.products[t.Product].SLA - d.now; d.returns < fewReturn && left > 0 {
+	few := fewReturn * min(1, float64(d.fleet.zones)/float64(d.post.Agents))
+	if left := t.at + d.products[t.Product].SLA - d.now; d.returns < few && left > 0 {
 		return min(left, t.Expires-d.now)
 	}
 	return 0
 }
 
-// expect counts those turned away who have not come back in the time that they had.
-func (d *desk) expect() {
-	for len(d.left) > 0 && d.left[0].at < d.now-d.hand.MaxHoldOff-backWithin {
-		if last := d.left[0]; d.away[last.who] == last {
-			delete(d.away, last.who)
-			d.returns *= 1 - returnFade
-		}
-		d.left = d.left[1:]
-	}
-}
-
-const (
-	trial   = iota // the newest build in the list, on trial or released last
-	earlier        // builds to go to otherwise
-	leaving        // builds that went back or are being taken off
-)
-
 func (d *desk) rank(build, top int) int {
 	switch {
 	case d.spoiled[build] || build == d.build && d.phase == OnTrial && build < top:
@@ -437,9 +434,13 @@
 func (d *desk) slice() (top int, share float64) {
 	top = d.fleet.highest(d.spoiled)
 	var ready [leaving + 1]float64
+	last, rank := -1, 0
 	for _, a := range d.fleet.all {
+		if a.Build != last {
+			last, rank = a.Build, d.rank(a.Build, top)
+		}
 		if a.ready() {
-			ready[d.rank(a.Build, top)] += a.weight()
+			ready[rank] += a.weight()
 		}
 	}
 	places := max(ready[trial], ready[earlier])
@@ -454,7 +455,7 @@
 }
 
 func (d *desk) route(t *txn) {
-	if d.txns[t.ID] != t || t.on != nil {
+	if t.closed || d.txns[t.ID] != t || t.on != nil {
 		return
 	}
 	if d.now >= t.at+d.products[t.Product].SLA && (t.seq > 0 || d.now-d.jammed < jamFor) {
@@ -472,12 +473,12 @@
 			return
 		}
 	}
-	if d.hopeless(t) {
-		d.jammed = d.now
-		d.answer(t)
+	if !d.hopeless(t) {
+		d.held = append(d.held, t)
 		return
 	}
-	d.held = append(d.held, t)
+	d.jammed = d.now
+	d.answer(t)
 }
 
 // holdPart of its SLA time is the longest that a txn is held. For jamFor after one is given up it is a jam.
@@ -492,43 +493,47 @@
 }
 
 const (
-	// loadSlack lets an appliance hold a quarter more than its part before the ring goes on: the usual figure
-	// for consistent hashing with bounded loads.
+	// loadSlack: the usual figure for consistent hashing with bounded loads.
 	loadSlack = 1.25
 	// lastResort puts an appliance behind all others: longer than any way round the ring.
 	lastResort = 1 << 20
 )
 
-// pick walks the ring of one rank: the eligible appliance with the nearest point clockwise. A point's way
-// counts by the weight, so a ramping appliance's arcs are short.
+// pick walks the ring of one rank: the nearest point clockwise, its way by the weight, so arcs ramp.
 func (d *desk) pick(t *txn, want, top int) *appliance {
 	var open []*appliance
 	var held, weight, total, room float64
+	if !d.mayGo(t) {
+		return nil
+	}
+	last, fits := -1, false
 	for _, a := range d.fleet.all {
 		if a.ready() && a.now >= a.aside {
 			total, room = total+float64(a.out), room+a.limit
 		}
-		if a.healthy() && d.rank(a.Build, top) == want && d.may(t, a) {
+		if a.Build != last {
+			last, fits = a.Build, d.rank(a.Build, top) == want && d.mayTry(t, a.Build)
+		}
+		if fits && a.healthy() && d.zone(a.Zone).open() && d.mayAt(t, a) {
 			open, held, weight = append(open, a), held+float64(a.out), weight+a.weight()
 		}
 	}
 	if total+1 > max(1, room) {
 		return nil // limits under one each: all agents' ones together would still be a queue
 	}
-	var best *appliance
-	bestBy := math.Inf(1)
+	best, bestBy := (*appliance)(nil), math.Inf(1)
 	for _, a := range open {
 		by := a.reach(t.spot) / a.weight()
 		if a.Zone != d.post.Zone {
-			by *= d.awayCost
+			by *= 1 + awayPerFare*d.fare
+		} else if d.turns(a) {
+			by = 0 // its turn is short, and the next key on its arc may come too late
 		}
 		if float64(a.out) >= math.Ceil(loadSlack*(held+1)*a.weight()/weight) {
 			by *= lastResort // past its part of the load
 		}
-		for _, b := range t.tried {
-			if a == b {
-				by *= lastResort
-			}
+		if slices.Contains(t.tried, a) {
+			by *= lastResort
 		}
 		if by < bestBy {
 			best, bestBy = a, by
@@ -540,10 +545,10 @@
 // answer is the one final answer of a txn that was not settled: a decline where a repeat does no harm.
 func (d *desk) answer(t *txn) {
 	p := &d.products[t.Product]
-	delete(d.txns, t.ID)
+	d.close(t)
 	d.judge.put(turned{})
 	last := parting{d.now, t.at, t.who}
-	d.away[t.who], d.left = last, append(d.left, last)
+	d.gone[t.who], d.left = last, append(d.left, last)
 	if t.ran == nil || p.Effect == InquiryLike ||
 		p.Effect == Referenced && p.Group == ScopeAll && d.now < t.ranAt+p.Memory {
 		d.give(Decline{ID: t.ID, HoldOff: d.hand.MaxHoldOff}) // a jam; nothing sooner would find it gone
@@ -552,8 +557,8 @@
 	}
 }
 
-// What outcomes are weighed on. A build needs leastAlike appliances, or its lateness may be theirs alone.
-// Of the stage's first ripe outcomes lateness counts less.
+// What outcomes are weighed on. A build needs leastAlike appliances, or its lateness may be theirs alone. Of
+// the stage's first ripe outcomes lateness counts less.
 const failures, lateness, leastAlike, ripe, mostEarlier = 0, 1, 3, 20, 0.25
 
 const (
@@ -566,12 +571,32 @@
 	renewAt = 0.66
 	// blindWait leaves the others time for a drag to count.
 	blindWait = 10 * second
+	// benchWait: the others go on without the bench when it has been silent for twice the clock.
+	benchWait = 5 * second
 	// fullPause and voteRetry: after 'full' the launcher gets a second, after other failures a short wait.
 	fullPause, voteRetry = 1 * second, 250 * ms
 )
 
+// seats: enough that some are left when agents restart in numbers, few enough that telling them costs little.
+// sheetEvery and sheetMost: a sheet of outcomes goes out soon, or when it is full.
+const seats, sheetEvery, sheetMost = 5, 500 * ms, 256 - lineBytes
+
+// seat: where agents are more than seats and may tell each other, a few judge on the outcomes of all. Each
+// alone sees too little, and of hundreds the one with the worst luck would decide.
+func (j *judge) seat(st Station) {
+	if st.Agents <= seats {
+		return
+	}
+	j.bench, j.me, j.agents = lot(st.Agents, seats, ringSalt), st.Me, st.Agents
+	j.sits = slices.Contains(j.bench, st.Me)
+}
+
 func (j *judge) take(n note) {
 	switch n := n.(type) {
+	case Heard:
+		for _, l := range j.lines(n.Text) {
+			j.put(l)
+		}
 	case Staged:
 		if n.Answer && n.Outcome != OK {
 			j.cast, j.quiet = NoVote, j.now+voteRetry
@@ -581,9 +606,7 @@
 		}
 		same := n.Build == j.build && n.Stage == j.stage
 		if j.hear(n) {
-			if j.cast = NoVote; n.Stage == 0 {
-				j.early = 0
-			}
+			j.cast = NoVote
 			for _, a := range j.fleet.all {
 				a.put(say{anew: !same}) // a release takes its last stage's evidence along
 			}
@@ -591,8 +614,10 @@
 			j.since = max(j.now-n.Age, j.began)
 		}
 	case told:
-		// A time-out says that something is overloaded, not what: late in a release there is no earlier
-		// build left to compare with, and good builds were sent back for it.
+		if !n.peer {
+			j.pass(n)
+		}
+		// A time-out says that something is overloaded, not what: good builds were sent back for it.
 		if n.Outcome == OK || n.Outcome == Errored {
 			j.weigh(n.by, failures, n.Outcome != OK)
 		}
@@ -600,8 +625,7 @@
 			j.time(n)
 			good := n.Outcome == OK && n.Took <= n.sla
 			j.inTime(good)
-			// A slow build that still answers: late by far more than the earlier build is at the same time. Only
-			// while that carries most, or its machines have the less to do; nor while cold.
+			// A slow build that still answers: later than the earlier one. Only while that carries most, and warm.
 			if j.dose < mostEarlier && n.by.pace() >= 1 {
 				j.weigh(n.by, lateness, !good)
 			}
@@ -611,6 +635,9 @@
 			j.dose *= 1 - doseFade
 		}
 	case turned:
+		if !n.peer {
+			j.pass(told{Ended: Ended{Outcome: turnedLine}, by: &appliance{}})
+		}
 		j.inTime(false)
 	case Flagged:
 		// An answer found wrong was counted as good; the earlier build's false reports count alike.
@@ -618,9 +645,12 @@
 			j.weigh(a, failures, true)
 		}
 	case beat:
+		if len(j.sheet) > 0 && j.now >= j.sheetAt+sheetEvery {
+			j.send()
+		}
 		j.feel()
+		j.vote()
 	}
-	j.vote()
 }
 
 // weigh adds an outcome to what its appliance says, on failures or on lateness.
@@ -655,19 +685,17 @@
 	a.put(say{step: step})
 }
 
-// oneSays bounds what one appliance adds against its build where there are others, under a crossing; and of a
-// large build a quarter must speak: machines that go bad by themselves are fewer.
+// oneSays bounds what one of several appliances adds; of a large build a quarter must speak.
 const oneSays, speakers = 2, 4
 
-// ratio adds up what the build's appliances say. It guards against machines that fail by themselves, whatever
-// they run: a bad build fails on most of its machines alike. A build with one appliance is judged by that
-// alone. Good outcomes are not saved up beyond the crossing, as a build may turn bad late.
+// ratio adds up what the build's appliances say. It guards against machines that fail by themselves: a bad
+// build fails on most alike. Good outcomes are not saved up past the crossing: a build may turn bad late.
 func (j *judge) ratio() (sum float64) {
 	var says []float64
 	// Machines of the earlier build fail too: then those that fail here are no sign of the build.
 	around := j.fleet.failing(j.build, errMost)
-	for _, a := range j.fleet.all {
-		if a.ready() && a.Build == j.build && !(around && a.errs > errSome) {
+	for _, a := range j.fleet.all { // those never heard of say nothing
+		if a.ready() && a.Build == j.build && a.said != 0 && !(around && a.errs > errSome) {
 			says = append(says, a.said)
 		}
 	}
@@ -687,20 +715,19 @@
 	// dragTimes slower and fewer txns completed than dragDone of the calm's: either alone is only more traffic.
 	dragTimes, dragDone = 1.3, 0.8
 	// shareDone of the calm's share in time with rateDone of its completions: more traffic lowers only the one,
-	// less traffic only the other. Nothing is released either while less than shareDone are in time.
+	// less only the other. Nothing is released while less than shareDone are in time.
 	shareDone, rateDone = 0.6, 0.85
 	// collapse: with so little answered in time it need not be told apart any more from what else is wrong.
 	collapse   = 0.5
 	dragClears = 4 // a jam that has passed is forgotten faster than it was felt
-	// dragAlone is slow enough without a drop, as long as the fleet has slack; it counts for less.
+	// dragAlone is slow enough without a drop; it counts for less.
 	dragAlone, aloneCounts = 1.6, 0.7
 	// doseFade: the build's part of the answers, over the last fifty.
 	doseFade = 0.02
 	// wholeFleet: with fewer appliances than this part of the calm's, the rest are slow for that reason.
 	wholeFleet = 0.85
-	// dragHolds back the vote to release soon, as a delay is cheap there; dragLasts outlives most passing jams.
-	// Felt for dragEarly before the last stage, it has grown with the traffic, and dragSoon is enough.
-	dragHolds, dragLasts, dragEarly, dragSoon = 0.5e6, 9e6, 3e6, 6e6
+	// dragHolds back a release soon; dragLasts outlives most passing jams.
+	dragHolds, dragLasts = 0.5e6, 9e6
 	// doneSpan and calmSpan: completions are averaged over these times.
 	doneSpan, calmSpan = 3 * second, 10 * second
 	// settleAfter its release, a build counts as part of the calm.
@@ -714,38 +741,11 @@
 
 func (j *judge) calmNow() bool { return j.slow == 0 && (j.build == 0 || j.settled()) }
 
-func (j *judge) inTime(yes bool) {
-	j.done += one(yes)
-	if j.share += (one(yes) - j.share) * doseFade; j.calmNow() {
-		j.calmShare = j.share
-	}
-}
-
-// time compares an answer with those of the calm, product by product.
-func (j *judge) time(n told) {
-	p := n.product
-	if j.calmNow() {
-		j.calmSeen[p]++
-		j.calm[p] += (float64(n.Took) - j.calm[p]) * max(calmFade, 1/j.calmSeen[p])
-	}
-	if j.calmSeen[p] >= leastSeen {
-		j.times = append(j.times, float64(n.Took)/j.calm[p])
-		j.times = j.times[max(0, len(j.times)-dragLast):]
-	}
-}
-
-// feel guards against a release that slows old and new alike, where no comparison of builds can show it: the
-// median answer is far slower than before the release, with the fleet whole, and goes on so; counted by the
-// build's part of the txns, as harm in step with its traffic cannot come before it, and in full where
-// less is completed too. It should catch any harm a release does to what all share. It may send a good build
-// back in a jam of the whole fleet that begins during a release and lasts longer than dragLasts.
+// feel guards against a release that slows old and new alike: the median answer is far slower than before it,
+// with the fleet whole, and goes on so; counted by the build's part of the txns, and in full where less is
+// completed too. It may send a good build back in a jam of the whole fleet that lasts longer than dragLasts.
 func (j *judge) feel() {
-	whole := 0.0
-	for _, a := range j.fleet.all {
-		if a.ready() && a.now >= a.aside {
-			whole += a.pace() // a cold fleet is not whole
-		}
-	}
+	whole := j.fleet.whole()
 	age, dt := float64(j.now-j.began)+1, float64(j.now-j.feltAt)
 	rate := j.done / max(1, dt)
 	j.done, j.feltAt = 0, j.now
@@ -755,35 +755,39 @@
 		j.calmRate += (rate - j.calmRate) * part
 		j.calmFleet += (whole - j.calmFleet) * part
 	}
-	median, full := 0.0, whole >= wholeFleet*j.calmFleet
+	middle, full := 0.0, whole >= wholeFleet*j.calmFleet
 	if len(j.times) == dragLast && full {
-		sorted := append([]float64(nil), j.times...)
-		sort.Float64s(sorted)
-		median = sorted[dragLast/2]
-	}
-	if median >= dragTimes && j.phase == OnTrial && j.stage < len(j.plan.Caps)-1 {
-		j.early += dt
+		middle = median(j.times)
 	}
 	switch {
-	case median >= dragTimes && j.rate < dragDone*j.calmRate,
+	case middle >= dragTimes && j.rate < dragDone*j.calmRate,
 		j.rate < collapse*j.calmRate && j.share < rateDone*j.calmShare, // not just the agent's traffic that ends
 		full && j.share < shareDone*j.calmShare && j.rate < rateDone*j.calmRate:
 		j.slow += dt * j.dose
-	case median >= dragAlone:
+	case middle >= dragAlone:
 		j.slow += dt * j.dose * aloneCounts
 	default:
 		j.slow = max(0, j.slow-dragClears*dt)
 	}
 }
 
+// bar is the crossing to vote back at: higher for one of many who decide alone, lower where many must agree.
+func (j *judge) bar() float64 {
+	if j.bench != nil && !j.sits {
+		return crossing + math.Log(float64(j.agents))
+	}
+	return max(holdAbove, crossing-math.Log(float64(max(1, j.polling.ToGoBack))))
+}
+
 func (j *judge) verdict() Verdict {
-	ratio := j.ratio()
+	ratio, least, bar := j.ratio(), leastSeen, j.bar()
+	least /= max(1, j.polling.ToGoBack)
+	judges := j.bench == nil || j.sits
 	drags, last := !j.settled(), j.stage == len(j.plan.Caps)-1
 	switch {
 	case j.build == 0 || j.spoiled[j.build]:
 		return NoVote
-	case j.seen >= leastSeen && ratio >= crossing, drags && j.slow >= dragLasts,
-		drags && j.early >= dragEarly && j.slow >= dragSoon:
+	case j.seen >= least && ratio >= bar, drags && judges && j.slow >= dragLasts:
 		return Back
 	case j.phase != OnTrial:
 		return NoVote
@@ -793,14 +797,16 @@
 		return NoVote
 	}
 	newest := j.fleet.newest(j.build)
-	// The last stage releases, and there is no comparing afterwards: there the clock also runs from the newest
-	// start, so that the whole build has carried its traffic for a while. Elsewhere delay costs more.
+	// The last stage releases: there the clock also runs from the newest start. Elsewhere delay costs more.
 	clock := j.now - j.since
 	if last {
 		if clock = min(clock, j.now-newest); len(j.times) < dragLast {
 			clock -= blindWait // this agent can not feel a drag; where one vote is enough, others may
 		}
 	}
+	if !judges {
+		clock -= benchWait
+	}
 	if j.seen >= leastSeen && ratio <= -crossing && min(clock, j.now-newest) >= onAfter ||
 		clock >= stageClock && ratio <= holdAbove {
 		return On
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -3,19 +3,63 @@
 package brain
 
 import (
+	"cmp"
+	"encoding/binary"
 	"math"
+	"math/rand"
+	"slices"
 	"sort"
 )
 
-type inbox struct{ notes []note }
+// Handle hands an event to the parts, empties the inboxes, and sees that a bell is asked for.
+func (g *agent) Handle(now Micros, ev Event) []Order {
+	g.now, g.out = now, nil
+	_, ring := ev.(Bell)
+	if ring = ring && now >= g.due; g.began < 0 {
+		g.began, ring = now, true
+	}
+	for _, p := range g.parts {
+		p.put(ev) // each takes what concerns it
+		if ring {
+			p.put(beat{})
+		}
+	}
+	for g.step() {
+	}
+	next := now + g.desk.rest()
+	if ring || next < g.due {
+		g.due = next
+		g.give(Wake{At: next})
+	}
+	return g.out
+}
+
+const (
+	ms     Micros = 1000
+	second        = 1000 * ms
+)
+
+type inbox struct {
+	notes []note
+	read  int
+}
 
 func (b *inbox) put(n note) { b.notes = append(b.notes, n) }
 
 func (b *inbox) next() (n note) {
-	if len(b.notes) > 0 {
-		n, b.notes = b.notes[0], b.notes[1:]
+	if b.read < len(b.notes) {
+		n, b.read = b.notes[b.read], b.read+1
+		return n
+	}
+	b.notes, b.read = b.notes[:0], 0
+	return nil
+}
+
+// put also queues the appliance for the loop, so that emptying the inboxes does not cost a look at each.
+func (a *appliance) put(n note) {
+	if a.inbox.put(n); !a.queued {
+		a.queued, a.line.mail = true, append(a.line.mail, a)
 	}
-	return n
 }
 
 type part interface {
@@ -31,12 +75,15 @@
 
 // step empties one note. Appliances come first, so that no pick reads a record with mail waiting.
 func (g *agent) step() bool {
-	for _, a := range g.fleet.all {
+	for len(g.mail) > 0 {
+		a := g.mail[0]
 		if n := a.next(); n != nil {
 			a.take(n)
 			return true
 		}
+		a.queued, g.mail = false, g.mail[1:]
 	}
+	g.mail = nil
 	for _, p := range g.parts {
 		if n := p.next(); n != nil {
 			p.take(n)
@@ -82,6 +129,7 @@
 				f.byID[row.ID], f.all = a, append(f.all, a)
 			}
 			a.listed = true
+			f.zones = max(f.zones, row.Zone+1)
 			a.put(row)
 		}
 		for _, a := range f.all {
@@ -92,7 +140,9 @@
 		}
 	case beat:
 		for _, a := range f.all {
-			a.put(n)
+			if a.aside > 0 || len(a.sends) > 0 { // the others wait for nothing
+				a.put(n)
+			}
 		}
 	case Probed:
 		if a := f.byID[n.Appliance]; a != nil {
@@ -167,3 +217,170 @@
 	}
 	return false
 }
+
+// An outcome on its way to a peer takes lineBytes: appliance, build, product, outcome and whole ms.
+const lineBytes, turnedLine = 9, 0xff
+
+func putLine(to []byte, n told) []byte {
+	to = binary.LittleEndian.AppendUint32(to, n.Appliance)
+	to = append(to, byte(n.by.Build), byte(n.product), byte(n.Outcome))
+	return binary.LittleEndian.AppendUint16(to, uint16(min(max(0, n.Took/ms), math.MaxUint16)))
+}
+
+// lines reads a peer's sheet; what is not known here is skipped.
+func (j *judge) lines(sheet []byte) (out []note) {
+	for ; len(sheet) >= lineBytes; sheet = sheet[lineBytes:] {
+		if sheet[6] == turnedLine {
+			out = append(out, turned{peer: true})
+			continue
+		}
+		a, p := j.fleet.byID[binary.LittleEndian.Uint32(sheet)], int(sheet[5])
+		if a == nil || byte(a.Build) != sheet[4] || p >= len(j.products) || sheet[6] > byte(Moot) {
+			continue
+		}
+		out = append(out, told{Ended: Ended{Appliance: a.ID, Outcome: Outcome(sheet[6]),
+			Took: Micros(binary.LittleEndian.Uint16(sheet[7:])) * ms}, by: a, product: p, sla: j.products[p].SLA, peer: true})
+	}
+	return out
+}
+
+// close forgets a txn, but for one with a submission out: its answer may still bind its key.
+func (d *desk) close(t *txn) {
+	if t.closed = true; t.on == nil {
+		delete(d.txns, t.ID)
+	}
+}
+
+// pass writes an outcome on the sheet for the bench.
+func (j *judge) pass(n told) {
+	if j.bench == nil || n.product < 0 {
+		return
+	}
+	if len(j.sheet) == 0 {
+		j.sheetAt = j.now
+	}
+	if j.sheet = putLine(j.sheet, n); len(j.sheet) > sheetMost {
+		j.send()
+	}
+}
+
+func (j *judge) send() {
+	for _, i := range j.bench {
+		if i != j.me {
+			j.give(Tell{To: i, Text: j.sheet})
+		}
+	}
+	j.sheet = nil
+}
+
+func (d *desk) zone(i int) *zone {
+	for len(d.zones) <= i {
+		d.zones = append(d.zones, &zone{limit: manyOpen})
+	}
+	return d.zones[i]
+}
+
+func (z *zone) open() bool { return float64(z.out+1) <= z.limit }
+
+// New puts an agent's parts together from what it is told at its start.
+func New(st Station, products []Product, plan LaunchPlan, polling Polling, count Exposure, cold ColdStart,
+	hand Handover, may Licence, fares Fares) Router {
+	g := &agent{line: &line{chance: rand.New(rand.NewSource(st.Seed)), began: -1}}
+	g.fleet = &fleet{line: g.line, byID: map[uint32]*appliance{}, probes: may.Probe, cold: cold,
+		points: ringPoints, salt: ringSalt, least: 1 / float64(st.Agents)} // one open of all agents together
+	g.judge = &judge{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet,
+		polling: polling, products: products, share: 1, calm: make([]float64, len(products)), calmSeen: make([]float64, len(products))}
+	if may.Tell {
+		g.judge.seat(st)
+	}
+	g.desk = &desk{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet, judge: g.judge,
+		post: st, products: products, hand: hand, cold: cold, count: count,
+		fare: fares.CrossZone, ledger: make([][]entry, len(products)),
+		txns: map[uint64]*txn{}, gone: map[uint64]parting{}, returns: returnsFirst, bound: map[uint64]int{}, recent: map[uint64]popular{}}
+	for _, p := range products {
+		g.desk.usual = max(g.desk.usual, float64(p.SLA)/4) // until txns tell
+	}
+	g.lister = &lister{line: g.line, ask: may.Ask}
+	g.parts = []part{g.fleet, g.judge, g.desk, g.lister}
+	return g
+}
+
+func (d *desk) enter(product, build int) {
+	l := d.slot(product)
+	for len(*l) > 0 && (*l)[0].at < d.now-d.count.Window-windowEdge {
+		*l = (*l)[1:]
+	}
+	*l = append(*l, entry{d.now, build})
+}
+
+// expect counts those turned away who have not come back in the time that they had.
+func (d *desk) expect() {
+	for len(d.left) > 0 && d.left[0].at < d.now-d.hand.MaxHoldOff-backWithin {
+		if last := d.left[0]; d.gone[last.who] == last {
+			delete(d.gone, last.who)
+			d.returns *= 1 - returnFade
+		}
+		d.left = d.left[1:]
+	}
+}
+
+func (j *judge) inTime(yes bool) {
+	j.done += one(yes)
+	if j.share += (one(yes) - j.share) * doseFade; j.calmNow() {
+		j.calmShare = j.share
+	}
+}
+
+// time compares an answer with those of the calm, product by product.
+func (j *judge) time(n told) {
+	p := n.product
+	if j.calmNow() {
+		j.calmSeen[p]++
+		j.calm[p] += (float64(n.Took) - j.calm[p]) * max(calmFade, 1/j.calmSeen[p])
+	}
+	if j.calmSeen[p] >= leastSeen {
+		j.times = append(j.times, float64(n.Took)/j.calm[p])
+		j.times = j.times[max(0, len(j.times)-dragLast):]
+	}
+}
+
+// lot draws some of the agents' numbers, the same wherever it is drawn.
+func lot(agents, some int, salt uint64) []int {
+	all := make([]int, agents)
+	for i := range all {
+		all[i] = i
+	}
+	slices.SortFunc(all, func(a, b int) int { return cmp.Compare(mix(uint64(a)^salt), mix(uint64(b)^salt)) })
+	return all[:some]
+}
+
+// whole counts the appliances that are there and warm.
+func (f *fleet) whole() (n float64) {
+	for _, a := range f.all {
+		if a.ready() && a.now >= a.aside {
+			n += a.pace()
+		}
+	}
+	return n
+}
+
+func median(of []float64) float64 {
+	sorted := slices.Clone(of)
+	slices.Sort(sorted)
+	return sorted[len(sorted)/2]
+}
+
+func (d *desk) rest() Micros {
+	if len(d.held) > 0 {
+		return beatEvery
+	}
+	return restEvery
+}
+
+// part is this agent's part of a zone's ready appliances, were all agents alike.
+func (f *fleet) part(zone, agents int) (n float64) {
+	for _, a := range f.all {
+		n += one(a.ready() && a.Zone == zone)
+	}
+	return n / float64(agents)
+}
--- a/brain/port.go
+++ b/brain/port.go
@@ -44,6 +44,7 @@
 type Station struct {
 	Me, Agents, Zone int
 	Seed             int64
+	WarmKeys         bool // appliances work faster for keys that they met lately
 }
 
 // Product is one kind of txn.
@@ -72,6 +73,8 @@
 	Stands    Micros // a vote lapses after this
 	Patience  Micros // longest wait for the answer to a vote
 	CallsPerS float64
+	ToGo      int // votes that move a stage on
+	ToGoBack  int // votes that send a build back
 }
 
 // Exposure is the count that a build on trial is held to.
@@ -257,8 +260,11 @@
 	}
 	// Probe checks an appliance.
 	Probe struct{ Appliance uint32 }
-	// Tell sends a message to all peers.
-	Tell struct{ Text []byte }
+	// Tell sends a message to one peer.
+	Tell struct {
+		To   int
+		Text []byte
+	}
 	// Watch asks the list for changes from now on.
 	Watch struct{}
 	// Vote casts this agent's vote.
--- a/brain/record.go
+++ b/brain/record.go
@@ -12,7 +12,7 @@
 		step float64
 		anew bool
 	} // evidence on its build; or a new stage, where it starts anew
-	turned struct{} // a txn was turned away
+	turned struct{ peer bool } // a txn was turned away, here or at a peer
 	sent   struct {
 		work float64
 		sla  Micros
@@ -22,6 +22,7 @@
 		by      *appliance
 		product int  // -1: the txn is over and forgotten
 		trial   bool // its build is on trial
+		peer    bool // a peer had it
 		sla     Micros
 	}
 )
@@ -36,6 +37,7 @@
 	now, began Micros
 	chance     *rand.Rand
 	out        []Order
+	mail       []*appliance // those with notes to read
 }
 
 type agent struct {
@@ -45,6 +47,7 @@
 	judge  *judge
 	lister *lister
 	parts  []part
+	due    Micros // the bell that is asked for
 }
 
 // fleet keeps the records, one an appliance, found by id.
@@ -56,6 +59,7 @@
 	probes bool
 	cold   ColdStart
 	least  float64 // the lowest limit
+	zones  int     // seen in the list so far
 	points int     // an appliance, on the ring
 	salt   uint64
 }
@@ -66,6 +70,7 @@
 	*line
 	Row
 	listed bool
+	queued bool // in the loop's mail
 	points []uint64
 	probes bool
 	cold   ColdStart
@@ -113,6 +118,7 @@
 	spot, who  uint64 // its place on the ring; its key, product and customer
 	on         *appliance
 	seq        int
+	closed     bool // answered or abandoned, with a submission still out
 	ran        *Row // where it may have run first
 	ranAt      Micros
 	tried      []*appliance
@@ -136,12 +142,14 @@
 	hand     Handover
 	cold     ColdStart
 	count    Exposure
-	awayCost float64 // how much longer the way to another zone's point counts
+	fare     float64 // of a submission to another zone
+	zones    []*zone // by their index
 	ledger   [][]entry
 	txns     map[uint64]*txn
 	held     []*txn
 	bound    map[uint64]int     // one-way: the build that answered a key
-	away     map[uint64]parting // clients turned away who may come back
+	recent   map[uint64]popular // keys lately taken
+	gone     map[uint64]parting // clients turned away who may come back
 	left     []parting          // the same in order of time
 	returns  float64            // the moving share of those who come back
 	jammed   Micros             // when a txn was last given up
@@ -158,12 +166,17 @@
 	since                Micros // the stage's start, or this agent's if later
 	seen                 int
 	good, bad            [2]float64 // the earlier build's outcomes, fading
+	products             []Product
+	bench                []int // the agents who judge for all; none where each judges alone
+	me, agents           int
+	sits                 bool   // this agent is one of them
+	sheet                []byte // outcomes that they have not been told yet
+	sheetAt              Micros
 	cast                 Verdict
 	castAt, quiet        Micros
 	calm, calmSeen       []float64 // answer times before the release, by product
 	done, rate, calmRate float64   // txns completed: since the last beat, a µs now, a µs in the calm
 	share, calmShare     float64   // of txns answered in time, now and in the calm
-	early                float64   // µs of drag before the last stage
 	times                []float64 // the last answers against those before the release
 	feltAt               Micros    // the last beat
 	dose                 float64   // the build's part of the answers
@@ -174,3 +187,24 @@
 	at, first Micros // when it was turned away, and first taken
 	who       uint64
 }
+
+// popular is how much one key was taken lately.
+type popular struct {
+	load float64
+	seq  uint64
+	at   Micros
+}
+
+// zone is what this agent knows of a zone's appliances together.
+type zone struct {
+	limit, slow float64 // of own open submissions; the moving share of slow answers
+	out         int
+}
+
+const (
+	trial   = iota // the newest build in the list, on trial or released last
+	earlier        // builds to go to otherwise
+	leaving        // builds that went back or are being taken off
+)
+
+const takenMark = -1 // an entry of the ledger that is a txn taken
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"reflect"
-	"sort"
 	"strconv"
 	"strings"
 	"testing"
@@ -119,13 +118,13 @@
 		caps = append(caps, s.num(c))
 	}
 	span := func(k string, def float64) Micros { return Micros(s.val(m, k, def)) * ms }
-	s.r = New(Station{Agents: int(s.val(m, "agents", 1)), Seed: 7}, s.prods,
+	s.r = New(Station{Me: int(s.val(m, "me", 0)), Agents: int(s.val(m, "agents", 1)), Seed: 7, WarmKeys: m["warmkeys"] != ""}, s.prods,
 		LaunchPlan{Caps: caps, Guarded: int(s.val(m, "guarded", 0)), OneWay: m["oneway"] != "", InPlace: m["inplace"] != ""},
 		Polling{Ballot: map[string]Ballot{"": BallotAny, "share": BallotShare, "timer": BallotTimer}[m["ballot"]],
-			Stands: span("stands", 4000)},
+			Stands: span("stands", 4000), ToGoBack: int(s.val(m, "togoback", 1))},
 		Exposure{Window: span("window", 4000), Free: s.val(m, "free", 3), ByProduct: m["byproduct"] != ""},
 		ColdStart{From: s.val(m, "from", 0.3), Warm: span("warm", 5000), Multiple: s.val(m, "multiple", 2), After: span("after", 1500)},
-		Handover{MaxSubmissions: int(s.val(m, "max", 3))}, Licence{Ask: m["ask"] != "", Probe: m["probe"] != ""}, Fares{})
+		Handover{MaxSubmissions: int(s.val(m, "max", 3))}, Licence{Ask: m["ask"] != "", Probe: m["probe"] != "", Tell: m["tell"] != ""}, Fares{})
 }
 
 func (s *stage) give(ev Event) {
@@ -198,6 +197,14 @@
 				s.end(uint64(id), outcomeWords[w[1]], Micros(s.val(opts(w[2:]), "took", 50))*ms)
 			}
 		}
+	case "abandon":
+		s.give(Abandoned{ID: uint64(s.num(w[0]))})
+	case "heard": // APPLIANCE OUTCOME TIMES took=, a sheet from a peer
+		for n := s.num(w[2]); n > 0; n-- {
+			a := uint32(s.num(w[0]))
+			s.give(Heard{From: 1, Text: putLine(nil, told{Ended: Ended{Appliance: a, Outcome: outcomeWords[w[1]],
+				Took: Micros(s.val(opts(w), "took", 50)) * ms}, by: &appliance{Row: Row{Build: s.builds[a]}}})})
+		}
 	case "probed":
 		s.give(Probed{Appliance: uint32(s.num(w[0])), Outcome: outcomeWords[w[1]]})
 	case "flag":
@@ -256,18 +263,16 @@
 	for _, o := range s.log[s.since:] {
 		got := map[string]float64{}
 		name := strings.ToLower(reflect.TypeOf(o).Name())
+		for word, field := range map[string]string{"id": "ID", "to": "Appliance", "build": "Build", "stage": "Stage"} {
+			if f := reflect.ValueOf(o).FieldByName(field); f.IsValid() {
+				got[word] = s.num(fmt.Sprint(f.Interface()))
+			}
+		}
 		switch o := o.(type) {
 		case Submit:
-			got["id"], got["to"], got["build"] = float64(o.ID), float64(o.Appliance), float64(s.builds[o.Appliance])
-		case Decline:
-			got["id"] = float64(o.ID)
-		case Void:
-			got["id"] = float64(o.ID)
-		case Probe:
-			got["to"] = float64(o.Appliance)
+			got["build"] = float64(s.builds[o.Appliance])
 		case Vote:
 			name += []string{"-none", "-on", "-hold", "-back"}[o.Verdict]
-			got["build"], got["stage"] = float64(o.Build), float64(o.Stage)
 		}
 		hit := name == kind
 		for k, v := range m {
@@ -278,11 +283,7 @@
 		}
 	}
 	if n < least || n > most {
-		var all []string
-		for _, o := range s.log[s.since:] {
-			all = append(all, fmt.Sprintf("%T%v", o, o))
-		}
-		sort.Strings(all)
-		s.t.Errorf("%s: %s came %d times, want %d to %d, of %d orders: %.600s", s.at, strings.Join(w, " "), n, least, most, len(all), strings.Join(all, " "))
+		s.t.Errorf("%s: %s came %d times, want %d to %d, of %d orders: %.600s", s.at, strings.Join(w, " "), n, least, most,
+			len(s.log)-s.since, fmt.Sprintf("%+v", s.log[s.since:]))
 	}
 }
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -5,11 +5,13 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"switchfork/wire"
 )
 
 func main() {
+	debug.SetGCPercent(400) // most of the heap is the instances' lists and rings, which stay
 	if err := wire.NewHost().Serve(os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "wirehost:", err)
 		os.Exit(1)
--- a/wire/adapter.go
+++ b/wire/adapter.go
@@ -13,8 +13,6 @@
 
 var phases = []brain.Phase{brain.OnTrial, brain.GoingBack, brain.Released, brain.Withdrawn}
 
-const everyPeer = 0xffffffff
-
 // Host runs the instances of one process; they share nothing but the wire.
 type Host struct {
 	live  map[int]brain.Router
@@ -48,13 +46,13 @@
 }
 
 func (h *Host) batch(body []byte) ([]byte, error) {
-	r := &reader{buf: body, what: "batch header"}
+	r := &reader{buf: body}
 	count, now := int(r.u32()), r.micros("clock")
 	w := &writer{buf: make([]byte, 4, 256)}
 	for i := 0; i < count && r.err == nil; i++ {
-		r.what = fmt.Sprintf("record %d of %d", i, count)
+		r.what = place{i, count, -1}
 		code := r.u8()
-		rec := &reader{buf: r.text(int(r.u32())), what: fmt.Sprintf("record %d, code %d", i, code)}
+		rec := &reader{buf: r.text(int(r.u32())), what: place{i, count, code}}
 		if r.err != nil {
 			break
 		}
@@ -222,7 +220,7 @@
 	case brain.Wake:
 		w.record(3, who, func() { w.ms(o.At); w.u64(o.Token) })
 	case brain.Tell:
-		w.record(4, who, func() { w.u32(everyPeer); w.text(o.Text) })
+		w.record(4, who, func() { w.u32(uint32(o.To)); w.text(o.Text) })
 	case brain.CallOff:
 		w.record(7, who, func() { w.u64(o.ID); w.u8(o.Seq) })
 	case brain.Vote:
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -13,10 +13,23 @@
 
 var order = binary.LittleEndian
 
+// place says where in a batch a reader is, in words only when something is wrong there.
+type place struct{ record, of, code int }
+
+func (p place) String() string {
+	switch {
+	case p.of == 0:
+		return "batch header"
+	case p.code < 0:
+		return fmt.Sprintf("record %d of %d", p.record, p.of)
+	}
+	return fmt.Sprintf("record %d, code %d", p.record, p.code)
+}
+
 // reader takes fields off a record; the first shortfall sticks.
 type reader struct {
 	buf  []byte
-	what string
+	what place
 	err  error
 }
 
--- a/wire/facts.go
+++ b/wire/facts.go
@@ -103,7 +103,8 @@
 // open starts a module from an instance's first message.
 func open(seed uint64, env string) (brain.Router, error) {
 	f := parseFacts(env)
-	st := brain.Station{Me: f.count("Me"), Agents: f.count("Balancers"), Zone: f.count("Zone"), Seed: int64(seed)}
+	st := brain.Station{Me: f.count("Me"), Agents: f.count("Balancers"), Zone: f.count("Zone"), Seed: int64(seed),
+		WarmKeys: f.flag("FamilyInfo.WarmKeys")}
 	products := make([]brain.Product, f.count("Grades.count"))
 	for i := range products {
 		at := func(k string) string { return fmt.Sprintf("Grades.%d.%s", i, k) }
@@ -122,7 +123,7 @@
 		Guarded: f.count("FamilyInfo.Shielded"), OneWay: f.flag("FamilyInfo.OneWay"),
 		InPlace: pick(f, "FamilyInfo.Swap", map[string]bool{"in_place": true, "beside": false})}
 	polling := brain.Polling{Stands: f.ms("FamilyInfo.VoteStandsMs"), Patience: f.ms("FamilyInfo.CallTimeoutMs"),
-		CallsPerS: f.num("FamilyInfo.ApiRate"), Ballot: pick(f, "FamilyInfo.VoteMode", map[string]brain.Ballot{
+		CallsPerS: f.num("FamilyInfo.ApiRate"), ToGo: f.count("FamilyInfo.VotesToGo"), ToGoBack: f.count("FamilyInfo.NoesNeeded"), Ballot: pick(f, "FamilyInfo.VoteMode", map[string]brain.Ballot{
 			"any": brain.BallotAny, "share": brain.BallotShare, "timer": brain.BallotTimer})}
 	count := brain.Exposure{Window: f.ms("FamilyInfo.CountedOverMs"), Free: f.num("FamilyInfo.Allowance"),
 		ByProduct: pick(f, "FamilyInfo.CountedBy", map[string]bool{"class": true, "all": false})}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -9,35 +9,15 @@
 	"switchfork/brain"
 )
 
-const env = `Me=0
-Balancers=2
-Zone=0
-Grades.count=1
-Grades.0.Repeat=read_like
-Grades.0.SloMs=100.0
-Grades.0.HardLimitMs=400.0
-Grades.0.Worth=1.0
-FamilyInfo.StageCap=0.1,1.0
-FamilyInfo.StageShare=0.1,1.0
-FamilyInfo.Shielded=0
-FamilyInfo.Swap=beside
-FamilyInfo.VoteStandsMs=4000.0
-FamilyInfo.CallTimeoutMs=800.0
-FamilyInfo.ApiRate=50.0
-FamilyInfo.VoteMode=any
-FamilyInfo.CountedOverMs=4000.0
-FamilyInfo.Allowance=2.0
-FamilyInfo.CountedBy=all
-Safety.ColdFrom=0.3
-Safety.ColdMs=5000.0
-Safety.TipMultiple=2.0
-Safety.TipAfterMs=1500.0
-Safety.DrainGraceMs=1000.0
-Safety.GraceToAnswerMs=20.0
-Limits.MaxAttempts=3
-Discovery=automatic
-A.Key.NotKnown=yes
-`
+var env = strings.ReplaceAll(`Me=0 Balancers=2 Zone=0 Grades.count=1 Grades.0.Repeat=read_like Grades.0.SloMs=100.0
+Grades.0.HardLimitMs=400.0 Grades.0.Worth=1.0 FamilyInfo.StageCap=0.1,1.0
+FamilyInfo.StageShare=0.1,1.0 FamilyInfo.Shielded=0 FamilyInfo.Swap=beside
+FamilyInfo.VoteStandsMs=4000.0 FamilyInfo.CallTimeoutMs=800.0 FamilyInfo.ApiRate=50.0
+FamilyInfo.VoteMode=any FamilyInfo.VotesToGo=1 FamilyInfo.NoesNeeded=1
+FamilyInfo.CountedOverMs=4000.0 FamilyInfo.Allowance=2.0 FamilyInfo.CountedBy=all
+Safety.ColdFrom=0.3 Safety.ColdMs=5000.0 Safety.TipMultiple=2.0 Safety.TipAfterMs=1500.0
+Safety.DrainGraceMs=1000.0 Safety.GraceToAnswerMs=20.0 Limits.MaxAttempts=3 Discovery=automatic
+A.Key.NotKnown=yes`, " ", "\n")
 
 // frame builds a batch of records, each given as its code and fields.
 func frame(records ...func(*writer)) []byte {
