--- a/brain/brain.go
+++ b/brain/brain.go
@@ -216,9 +216,7 @@
 	case Ended:
 		d.ended(n)
 	case Abandoned:
-		if t := d.txns[n.ID]; t != nil {
-			d.close(t)
-		}
+		d.close(d.txns[n.ID])
 	case Staged:
 		d.hear(n) // a lower cap binds at once, and what was sent before still counts: never too much
 	case beat:
@@ -283,6 +281,7 @@
 	}
 	switch n.Outcome {
 	case Errored, TimedOut, Broken, CalledOff:
+		t.errs += int(one(n.Outcome == Errored))
 		if row := a.Row; t.ran == nil {
 			t.ran, t.ranAt = &row, t.sentAt
 		}
@@ -390,8 +389,7 @@
 	if !d.may(t, a) {
 		return
 	}
-	t.on, t.sentAt = a, d.now
-	t.seq++
+	t.on, t.sentAt, t.seq = a, d.now, t.seq+1
 	if _, _, bound := d.capped(a.Build); bound {
 		d.enter(t.Product, a.Build)
 	}
@@ -434,13 +432,9 @@
 func (d *desk) slice() (top int, share float64) {
 	top = d.fleet.highest(d.spoiled)
 	var ready [leaving + 1]float64
-	last, rank := -1, 0
 	for _, a := range d.fleet.all {
-		if a.Build != last {
-			last, rank = a.Build, d.rank(a.Build, top)
-		}
 		if a.ready() {
-			ready[rank] += a.weight()
+			ready[d.rank(a.Build, top)] += a.weight()
 		}
 	}
 	places := max(ready[trial], ready[earlier])
@@ -464,11 +458,11 @@
 	}
 	top, share := d.slice()
 	order := [...]int{earlier, trial, leaving}
-	if t.fraction < share {
+	if t.fraction < share && t.errs == 0 { // what failed on trial goes to the earlier build
 		order = [...]int{trial, earlier, leaving}
 	}
 	for _, want := range order {
-		if a := d.pick(t, want, top); a != nil {
+		if a := d.pick(t, want, top); a != nil && t.errs < errsMost {
 			d.submit(t, a)
 			return
 		}
@@ -484,11 +478,14 @@
 // holdPart of its SLA time is the longest that a txn is held. For jamFor after one is given up it is a jam.
 const holdPart, jamFor = 0.5, 1 * second
 
+// errsMost: one error may be the build's or the machine's, two at different ones are the txn's own.
+const errsMost = 2
+
 // hopeless: no appliance may take the txn now and none will in time.
 func (d *desk) hopeless(t *txn) bool {
 	p := &d.products[t.Product]
 	last := min(t.Expires-2*beatEvery, t.at+Micros(holdPart*float64(p.SLA)))
-	return t.seq >= d.hand.MaxSubmissions || d.now >= last ||
+	return t.seq >= d.hand.MaxSubmissions || d.now >= last || t.errs >= errsMost ||
 		t.ran != nil && (p.Effect == OnceOnly || p.Effect == Referenced && d.now >= t.ranAt+p.Memory)
 }
 
@@ -503,7 +500,7 @@
 func (d *desk) pick(t *txn, want, top int) *appliance {
 	var open []*appliance
 	var held, weight, total, room float64
-	if !d.mayGo(t) {
+	if !d.mayGo(t) || !d.anyOpen() {
 		return nil
 	}
 	last, fits := -1, false
@@ -559,12 +556,11 @@
 
 // What outcomes are weighed on. A build needs leastAlike appliances, or its lateness may be theirs alone. Of
 // the stage's first ripe outcomes lateness counts less.
-const failures, lateness, leastAlike, ripe, mostEarlier = 0, 1, 3, 20, 0.25
+const failures, lateness, leastAlike, ripe, benchRipe, mostEarlier = 0, 1, 3, 20, 200, 0.25
 
 const (
-	// The design's figures.
 	leastSeen, crossing = 10, 3
-	holdAbove           = 1
+	holdAbove           = 1 // these are the design's figures
 	onAfter, stageClock = 3 * second, 5 * second
 	youngServer         = 2 * second // "started seconds ago": past the first cold seconds
 	// renewAt: votes are renewed with a third of their life left, room for one lost answer.
@@ -626,7 +622,7 @@
 			good := n.Outcome == OK && n.Took <= n.sla
 			j.inTime(good)
 			// A slow build that still answers: later than the earlier one. Only while that carries most, and warm.
-			if j.dose < mostEarlier && n.by.pace() >= 1 {
+			if j.judges() && j.dose < mostEarlier && n.by.pace() >= 1 {
 				j.weigh(n.by, lateness, !good)
 			}
 			if n.by.Build == j.build {
@@ -640,7 +636,6 @@
 		}
 		j.inTime(false)
 	case Flagged:
-		// An answer found wrong was counted as good; the earlier build's false reports count alike.
 		if a := j.fleet.byID[n.Appliance]; a != nil {
 			j.weigh(a, failures, true)
 		}
@@ -658,10 +653,13 @@
 	if j.spoiled[a.Build] || a.Build > j.build {
 		return
 	}
-	// The design's figures; and the earlier build's rate looks back over some hundreds of outcomes.
-	floor, times, fade := 0.01, 3.0, 0.997
+	// The design's; and the earlier build's rate looks back over some hundreds of outcomes.
+	floor, times, fade, ripe := 0.01, 3.0, 0.997, ripe
 	if on == lateness {
 		floor, times, fade = 0.1, 4, 0.98 // commoner, so it must differ by more; over some fifty, as jams pass
+		if j.sits {
+			fade, ripe = 0.998, benchRipe // the bench hears more in the same time
+		}
 	}
 	if a.Build < j.build {
 		j.good[on], j.bad[on] = j.good[on]*fade+one(!failed), j.bad[on]*fade+one(failed)
@@ -680,7 +678,7 @@
 		step = math.Log(r1 / r0)
 	}
 	if on == lateness {
-		step *= min(1, float64(j.seen)/ripe) // the first late ones may all be of one queue
+		step *= min(1, float64(j.seen)/float64(ripe)) // the first late ones may all be of one queue
 	}
 	a.put(say{step: step})
 }
@@ -700,6 +698,10 @@
 		}
 	}
 	n := float64(len(says))
+	slices.Sort(says)
+	if n > 1 && (j.sits || j.seen >= leastSeen*len(says)) && says[(len(says)-1)/2] <= 0 {
+		return min(0, says[0]) // half have nothing against it: it is some machines, or their load
+	}
 	for _, said := range says {
 		if n > 1 {
 			said = min(said, oneSays, speakers*crossing/n)
@@ -773,21 +775,19 @@
 
 // bar is the crossing to vote back at: higher for one of many who decide alone, lower where many must agree.
 func (j *judge) bar() float64 {
-	if j.bench != nil && !j.sits {
+	if !j.judges() {
 		return crossing + math.Log(float64(j.agents))
 	}
 	return max(holdAbove, crossing-math.Log(float64(max(1, j.polling.ToGoBack))))
 }
 
 func (j *judge) verdict() Verdict {
-	ratio, least, bar := j.ratio(), leastSeen, j.bar()
-	least /= max(1, j.polling.ToGoBack)
-	judges := j.bench == nil || j.sits
+	ratio, least, bar := j.ratio(), leastSeen/max(1, j.polling.ToGoBack), j.bar()
 	drags, last := !j.settled(), j.stage == len(j.plan.Caps)-1
 	switch {
 	case j.build == 0 || j.spoiled[j.build]:
 		return NoVote
-	case j.seen >= least && ratio >= bar, drags && judges && j.slow >= dragLasts:
+	case j.seen >= least && ratio >= bar, drags && j.judges() && j.slow >= dragLasts:
 		return Back
 	case j.phase != OnTrial:
 		return NoVote
@@ -800,11 +800,12 @@
 	// The last stage releases: there the clock also runs from the newest start. Elsewhere delay costs more.
 	clock := j.now - j.since
 	if last {
-		if clock = min(clock, j.now-newest); len(j.times) < dragLast {
-			clock -= blindWait // this agent can not feel a drag; where one vote is enough, others may
-		}
+		clock = min(clock, j.now-newest)
+	}
+	if last && len(j.times) < dragLast {
+		clock -= blindWait // this agent can not feel a drag; where one vote is enough, others may
 	}
-	if !judges {
+	if !j.judges() {
 		clock -= benchWait
 	}
 	if j.seen >= leastSeen && ratio <= -crossing && min(clock, j.now-newest) >= onAfter ||
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -246,6 +246,9 @@
 
 // close forgets a txn, but for one with a submission out: its answer may still bind its key.
 func (d *desk) close(t *txn) {
+	if t == nil {
+		return
+	}
 	if t.closed = true; t.on == nil {
 		delete(d.txns, t.ID)
 	}
@@ -384,3 +387,16 @@
 	}
 	return n / float64(agents)
 }
+
+// anyOpen tells whether any zone may be sent more.
+func (d *desk) anyOpen() bool {
+	for i := 0; i < d.fleet.zones; i++ {
+		if d.zone(i).open() {
+			return true
+		}
+	}
+	return false
+}
+
+// judges: alone, or from the bench.
+func (j *judge) judges() bool { return j.bench == nil || j.sits }
--- a/brain/record.go
+++ b/brain/record.go
@@ -117,7 +117,7 @@
 	fraction   float64
 	spot, who  uint64 // its place on the ring; its key, product and customer
 	on         *appliance
-	seq        int
+	seq, errs  int
 	closed     bool // answered or abandoned, with a submission still out
 	ran        *Row // where it may have run first
 	ranAt      Micros
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -73,7 +73,6 @@
 	return v
 }
 
-// opts splits key=value words; a bare word reads as 1.
 func opts(w []string) map[string]string {
 	m := map[string]string{}
 	for _, x := range w {
@@ -140,7 +139,6 @@
 	}
 }
 
-// until rings the bells that are due and sets the clock.
 func (s *stage) until(at Micros) {
 	if s.r == nil {
 		s.open()
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -45,7 +45,6 @@
 	return func(w *writer) { w.buf = append(w.buf, b...) }
 }
 
-// Records of the protocol page's own examples.
 var (
 	list   = raw("0d 1e000000 00 01000000 074a1203 00002442 00 01 00 0000 0000000000000000 0000803f")
 	cached = raw("01 0c000000 0300 02 2900000000000000 00")
