--- a/brain/brain.go
+++ b/brain/brain.go
@@ -72,8 +72,9 @@
 		a.out, a.waits = max(0, a.out-1), a.now
 		a.learn(n)
 	case say:
-		if a.said = max(a.said+n.step, -crossing-1); n.anew {
-			a.said = 0
+		a.said, a.late = max(a.said+n.step, -crossing-1), max(a.late+n.late, -crossing-1)
+		if n.anew {
+			a.said, a.late = 0, 0
 		}
 	case beat:
 		for len(a.sends) > 0 && a.sends[0].at <= a.now-a.cold.After {
@@ -458,8 +459,8 @@
 	}
 	top, share := d.slice()
 	order := [...]int{earlier, trial, leaving}
-	if t.fraction < share && t.errs == 0 { // what failed on trial goes to the earlier build
-		order = [...]int{trial, earlier, leaving}
+	if t.fraction < share {
+		order[0], order[1] = trial, earlier
 	}
 	for _, want := range order {
 		if a := d.pick(t, want, top); a != nil && t.errs < errsMost {
@@ -478,8 +479,8 @@
 // holdPart of its SLA time is the longest that a txn is held. For jamFor after one is given up it is a jam.
 const holdPart, jamFor = 0.5, 1 * second
 
-// errsMost: one error may be the build's or the machine's, two at different ones are the txn's own.
-const errsMost = 2
+// errsMost: an error may be the build's or the machine's, three at different ones are the txn's own.
+const errsMost = 3
 
 // hopeless: no appliance may take the txn now and none will in time.
 func (d *desk) hopeless(t *txn) bool {
@@ -680,7 +681,7 @@
 	if on == lateness {
 		step *= min(1, float64(j.seen)/float64(ripe)) // the first late ones may all be of one queue
 	}
-	a.put(say{step: step})
+	a.put(say{step: step, late: step * float64(on)}) // lateness is 1
 }
 
 // oneSays bounds what one of several appliances adds; of a large build a quarter must speak.
@@ -689,18 +690,18 @@
 // ratio adds up what the build's appliances say. It guards against machines that fail by themselves: a bad
 // build fails on most alike. Good outcomes are not saved up past the crossing: a build may turn bad late.
 func (j *judge) ratio() (sum float64) {
-	var says []float64
-	// Machines of the earlier build fail too: then those that fail here are no sign of the build.
-	around := j.fleet.failing(j.build, errMost)
-	for _, a := range j.fleet.all { // those never heard of say nothing
+	var says, lates []float64
+	around := j.fleet.failing(j.build, errMost) // then machines that fail here are no sign of the build
+	for _, a := range j.fleet.all {             // those never heard of say nothing
 		if a.ready() && a.Build == j.build && a.said != 0 && !(around && a.errs > errSome) {
-			says = append(says, a.said)
+			says, lates = append(says, a.said), append(lates, a.late)
 		}
 	}
 	n := float64(len(says))
-	slices.Sort(says)
-	if n > 1 && (j.sits || j.seen >= leastSeen*len(says)) && says[(len(says)-1)/2] <= 0 {
-		return min(0, says[0]) // half have nothing against it: it is some machines, or their load
+	if n > 1 && (j.sits || j.seen >= leastSeen*len(says)) && lower(lates) <= 0 {
+		for i := range says {
+			says[i] -= max(0, lates[i]) // half are not late: it is some machines, or their load
+		}
 	}
 	for _, said := range says {
 		if n > 1 {
@@ -719,9 +720,8 @@
 	// shareDone of the calm's share in time with rateDone of its completions: more traffic lowers only the one,
 	// less only the other. Nothing is released while less than shareDone are in time.
 	shareDone, rateDone = 0.6, 0.85
-	// collapse: with so little answered in time it need not be told apart any more from what else is wrong.
-	collapse   = 0.5
-	dragClears = 4 // a jam that has passed is forgotten faster than it was felt
+	// collapse need not be told apart from what else is wrong. A jam that has passed is forgotten dragClears faster.
+	collapse, dragClears = 0.5, 4
 	// dragAlone is slow enough without a drop; it counts for less.
 	dragAlone, aloneCounts = 1.6, 0.7
 	// doseFade: the build's part of the answers, over the last fifty.
@@ -802,7 +802,7 @@
 	if last {
 		clock = min(clock, j.now-newest)
 	}
-	if last && len(j.times) < dragLast {
+	if last && len(j.times) < dragLast && j.polling.ToGo <= 1 {
 		clock -= blindWait // this agent can not feel a drag; where one vote is enough, others may
 	}
 	if !j.judges() {
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -400,3 +400,10 @@
 
 // judges: alone, or from the bench.
 func (j *judge) judges() bool { return j.bench == nil || j.sits }
+
+// lower is the lower of the two in the middle.
+func lower(of []float64) float64 {
+	sorted := slices.Clone(of)
+	slices.Sort(sorted)
+	return sorted[(len(sorted)-1)/2]
+}
--- a/brain/record.go
+++ b/brain/record.go
@@ -10,6 +10,7 @@
 	beat struct{} // the tick by which parts look at the time
 	say  struct {
 		step float64
+		late float64 // the part of it that is lateness
 		anew bool
 	} // evidence on its build; or a new stage, where it starts anew
 	turned struct{ peer bool } // a txn was turned away, here or at a peer
@@ -85,7 +86,7 @@
 	limit       float64 // own submissions that it may hold
 	cutAt       Micros
 	errs        float64 // moving share of errors
-	said        float64 // its log-likelihood ratio against its build, in this stage
+	said, late  float64 // its log-likelihood ratio against its build, in this stage; lateness's part
 	waits, sla  Micros  // no answer since, with submissions out; the SLA time of the last
 	strikes     int     // silent outcomes in a row
 	heard       Micros  // its last answer
