--- a/brain/brain.go
+++ b/brain/brain.go
@@ -187,11 +187,8 @@
 	}
 }
 
-// awayPerFare: at a fare of a tenth of a txn another zone's arcs shrink to a fifth.
-const awayPerFare = 40
-
-// usualFade: the usual work looks back over some fifty txns.
-const usualFade = 0.02
+// awayPerFare: at a fare of 0.1 another zone's arcs shrink to a fifth. usualFade: over some fifty txns.
+const awayPerFare, usualFade = 40, 0.02
 
 func (d *desk) take(n note) {
 	switch n := n.(type) {
@@ -598,7 +595,7 @@
 		if n.Answer && n.Outcome != OK {
 			j.cast, j.quiet = NoVote, j.now+voteRetry
 			if n.Outcome == TurnedOff {
-				j.quiet = j.now + fullPause
+				j.quiet = j.now + fullPause + j.upTo(fullPause) // not all agents in step
 			}
 		}
 		same := n.Build == j.build && n.Stage == j.stage
@@ -720,7 +717,7 @@
 	// shareDone of the calm's share in time with rateDone of its completions: more traffic lowers only the one,
 	// less only the other. Nothing is released while less than shareDone are in time.
 	shareDone, rateDone = 0.6, 0.85
-	// collapse need not be told apart from what else is wrong. A jam that has passed is forgotten dragClears faster.
+	// collapse need not be told apart from other trouble. A jam that has passed is forgotten dragClears faster.
 	collapse, dragClears = 0.5, 4
 	// dragAlone is slow enough without a drop; it counts for less.
 	dragAlone, aloneCounts = 1.6, 0.7
