--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -245,7 +245,6 @@
 	s.give(Ended{ID: id, Appliance: a, Outcome: how, Took: took, Over: how == OK})
 }
 
-// expect checks the orders since the last event: "[no] ORDER [WORD=N ...]" or "ORDER at-most|at-least N ...".
 func (s *stage) expect(w []string) {
 	s.checks++
 	least, most := 1, 1<<30
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -19,7 +19,6 @@
 Safety.DrainGraceMs=1000.0 Safety.GraceToAnswerMs=20.0 Limits.MaxAttempts=3 Discovery=automatic
 A.Key.NotKnown=yes`, " ", "\n")
 
-// frame builds a batch of records, each given as its code and fields.
 func frame(records ...func(*writer)) []byte {
 	w := &writer{buf: make([]byte, 4)}
 	w.u32(uint32(len(records)))
