--- /dev/null
+++ b/charter/terms.go
@@ -0,0 +1,226 @@
+// Package charter is the one place where what is told at the start is read, checked and given its defaults: the
+// GW_* variables and the JSON beside them for the real agent, path=value pairs for the simulator. It turns the
+// settings into the module's start for both. It decides nothing, and no other package reads the environment.
+package charter
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"switchfork/brain"
+)
+
+// Terms are the settings as path=value pairs; the first thing that is wrong with them sticks.
+type Terms struct {
+	under string // what stands before a path in messages
+	pairs map[string]string
+	err   error
+}
+
+// Pairs reads terms from lines of path=value.
+func Pairs(text string) *Terms {
+	t := &Terms{pairs: map[string]string{}}
+	for _, line := range strings.Split(text, "\n") {
+		if k, v, ok := strings.Cut(strings.TrimSpace(line), "="); ok {
+			t.pairs[k] = v
+		}
+	}
+	return t
+}
+
+// nested turns a JSON object into the same pairs: dots between names, .count and .0 for lists of objects,
+// commas between plain values.
+func nested(under string, raw []byte) (*Terms, error) {
+	var root any
+	if err := json.Unmarshal(raw, &root); err != nil {
+		return nil, fmt.Errorf("%s: %w", under, err)
+	}
+	if _, ok := root.(map[string]any); !ok {
+		return nil, fmt.Errorf("%s is not an object", under)
+	}
+	t := &Terms{under: under + ".", pairs: map[string]string{}}
+	t.flatten("", root)
+	return t, nil
+}
+
+func (t *Terms) flatten(path string, v any) {
+	under := func(key string) string { return strings.TrimPrefix(path+"."+key, ".") }
+	switch v := v.(type) {
+	case map[string]any:
+		for k, inner := range v {
+			t.flatten(under(k), inner)
+		}
+	case []any:
+		var plain []string
+		for i, inner := range v {
+			switch inner.(type) {
+			case map[string]any, []any:
+				t.flatten(under(strconv.Itoa(i)), inner)
+			default:
+				plain = append(plain, scalar(inner))
+			}
+		}
+		if len(plain) < len(v) || len(v) == 0 {
+			t.pairs[under("count")] = strconv.Itoa(len(v))
+		} else {
+			t.pairs[path] = strings.Join(plain, ",")
+		}
+	case nil:
+	default:
+		t.pairs[path] = scalar(v)
+	}
+}
+
+func scalar(v any) string {
+	if f, ok := v.(float64); ok {
+		return strconv.FormatFloat(f, 'g', -1, 64)
+	}
+	return fmt.Sprint(v)
+}
+
+func (t *Terms) fail(key, why string) {
+	if t.err == nil {
+		t.err = fmt.Errorf("setting %s%s %s", t.under, key, why)
+	}
+}
+
+// Err tells what was wrong first.
+func (t *Terms) Err() error { return t.err }
+
+func (t *Terms) str(key string) string {
+	v, ok := t.pairs[key]
+	if !ok {
+		t.fail(key, "is missing")
+	}
+	return v
+}
+
+func (t *Terms) num(key string) float64 {
+	s := t.str(key)
+	if t.err != nil {
+		return 0
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		t.fail(key, fmt.Sprintf("is %q, not a number", s))
+	}
+	return v
+}
+
+func (t *Terms) has(key string) bool { _, ok := t.pairs[key]; return ok }
+
+// opt is num for a key that may be absent.
+func (t *Terms) opt(key string, def float64) float64 {
+	if !t.has(key) {
+		return def
+	}
+	return t.num(key)
+}
+
+func (t *Terms) count(key string) int {
+	v := t.num(key)
+	if v != math.Trunc(v) || v < 0 || v > 1e6 {
+		t.fail(key, fmt.Sprintf("is %v, not a count", v))
+		return 0
+	}
+	return int(v)
+}
+
+func (t *Terms) ms(key string) int64 {
+	v := t.num(key)
+	if v < 0 || v > 1e12 {
+		t.fail(key, fmt.Sprintf("is %v, not a span of time", v))
+		return 0
+	}
+	return int64(math.Round(v * 1000))
+}
+
+func (t *Terms) flag(key string) bool {
+	return t.has(key) && pick(t, key, map[string]bool{"true": true, "false": false})
+}
+
+func (t *Terms) words(key string) []string {
+	if v := t.pairs[key]; v != "" {
+		return strings.Split(v, ",")
+	}
+	return nil
+}
+
+func (t *Terms) list(key string) []float64 {
+	var out []float64
+	for _, s := range strings.Split(t.str(key), ",") {
+		v, err := strconv.ParseFloat(s, 64)
+		if err != nil {
+			t.fail(key, fmt.Sprintf("holds %q, not a number", s))
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+func pick[T any](t *Terms, key string, known map[string]T) T {
+	s := t.str(key)
+	v, ok := known[s]
+	if !ok {
+		t.fail(key, fmt.Sprintf("is %q, a word not known here", s))
+	}
+	return v
+}
+
+func grade(i int, key string) string { return fmt.Sprintf("Grades.%d.%s", i, key) }
+
+func (t *Terms) effect(i int) brain.Effect {
+	return pick(t, grade(i, "Repeat"), map[string]brain.Effect{"read_like": brain.InquiryLike,
+		"idempotency_key": brain.Referenced, "non_idempotent": brain.OnceOnly})
+}
+
+// Open starts a module on these terms.
+func (t *Terms) Open(seed uint64) (brain.Router, error) {
+	st := brain.Station{Me: t.count("Me"), Agents: t.count("Balancers"), Zone: t.count("Zone"), Seed: int64(seed),
+		WarmKeys: t.flag("FamilyInfo.WarmKeys")}
+	if st.Me >= st.Agents {
+		t.fail("Me", fmt.Sprintf("is %d of %d agents", st.Me, st.Agents))
+	}
+	products := make([]brain.Product, t.count("Grades.count"))
+	if len(products) == 0 {
+		t.fail("Grades", "has no product")
+	}
+	for i := range products {
+		p := &products[i]
+		if p.Effect = t.effect(i); p.Effect == brain.Referenced {
+			p.Group = pick(t, grade(i, "KeyScope"), map[string]brain.Scope{"all": brain.ScopeAll,
+				"zone": brain.ScopeZone, "cell": brain.ScopeCell})
+			p.Memory = t.ms(grade(i, "WindowMs"))
+		}
+		p.SLA, p.Expiry = t.ms(grade(i, "SloMs")), t.ms(grade(i, "HardLimitMs"))
+		p.Revenue, p.LateShare = t.num(grade(i, "Worth")), t.opt(grade(i, "LateValue"), 0)
+	}
+	plan := brain.LaunchPlan{Caps: t.list("FamilyInfo.StageCap"), Shares: t.list("FamilyInfo.StageShare"),
+		Guarded: t.count("FamilyInfo.Shielded"), OneWay: t.flag("FamilyInfo.OneWay"),
+		InPlace: pick(t, "FamilyInfo.Swap", map[string]bool{"in_place": true, "beside": false})}
+	polling := brain.Polling{Stands: t.ms("FamilyInfo.VoteStandsMs"), Patience: t.ms("FamilyInfo.CallTimeoutMs"),
+		CallsPerS: t.num("FamilyInfo.ApiRate"), ToGo: t.count("FamilyInfo.VotesToGo"),
+		ToGoBack: t.count("FamilyInfo.NoesNeeded"), Ballot: pick(t, "FamilyInfo.VoteMode", map[string]brain.Ballot{
+			"any": brain.BallotAny, "share": brain.BallotShare, "timer": brain.BallotTimer})}
+	count := brain.Exposure{Window: t.ms("FamilyInfo.CountedOverMs"), Free: t.num("FamilyInfo.Allowance"),
+		ByProduct: pick(t, "FamilyInfo.CountedBy", map[string]bool{"class": true, "all": false})}
+	cold := brain.ColdStart{From: t.num("Safety.ColdFrom"), Warm: t.ms("Safety.ColdMs"),
+		Multiple: t.num("Safety.TipMultiple"), After: t.ms("Safety.TipAfterMs")}
+	hand := brain.Handover{DrainGrace: t.ms("Safety.DrainGraceMs"), AnswerGrace: t.ms("Safety.GraceToAnswerMs"),
+		MaxSubmissions: t.count("Limits.MaxAttempts")}
+	if t.flag("Limits.RetryAfter") {
+		hand.MaxHoldOff = t.ms("Limits.MaxRetryAfterMs")
+	}
+	may := brain.Licence{Probe: t.flag("Limits.Probes"), CallOff: t.flag("Limits.Cancel"),
+		Tell: t.flag("Limits.MayTell"),
+		Ask:  pick(t, "Discovery", map[string]bool{"subscribe": true, "automatic": false})}
+	fares := brain.Fares{CrossZone: t.opt("Charges.CrossZone", 0), Waste: t.opt("Charges.Waste", 0),
+		Probe: t.opt("Charges.Probe", 0), Tell: t.opt("Charges.Peer", 0)}
+	if t.err != nil {
+		return nil, t.err
+	}
+	return brain.New(st, products, plan, polling, count, cold, hand, may, fares), nil
+}
--- /dev/null
+++ b/sockets/appliance.go
@@ -0,0 +1,399 @@
+package sockets
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"switchfork/brain"
+)
+
+// This file owns the connections to appliances: each appliance is an actor with a mailbox that keeps its idle
+// connections, writes each submission that was ordered exactly once, and tells how it ended. It must never send
+// anything again that may have run, and never choose an appliance.
+
+// Pool is what the appliances' actors share: told figures, and the budget of descriptors.
+type Pool struct {
+	dial   net.Dialer
+	idle   time.Duration
+	fields []string // of a load report
+	most   int64    // connections, to all appliances together
+	open   atomic.Int64
+	peak   atomic.Int64
+}
+
+func NewPool(dial, idle time.Duration, fields []string, most int) *Pool {
+	return &Pool{dial: net.Dialer{Timeout: dial, KeepAlive: -1}, idle: idle, fields: fields, most: int64(most)}
+}
+
+// take books a connection; false when all that are allowed are open.
+func (p *Pool) take() bool {
+	n := p.open.Add(1)
+	if n > p.most {
+		p.open.Add(-1)
+		return false
+	}
+	if n > p.peak.Load() {
+		p.peak.Store(n)
+	}
+	return true
+}
+
+func (p *Pool) hire(id uint32, e entry, core *Core) *appliance {
+	a := &appliance{pool: p, core: core, id: id, name: e.Host, box: newMailbox[any]()}
+	go a.serve()
+	return a
+}
+
+// appliance is one actor. Only serve's goroutine touches the fields below box.
+type appliance struct {
+	pool *Pool
+	core *Core
+	id   uint32
+	name string
+	box  *mailbox[any]
+
+	addr     string
+	born     float64
+	build    int
+	idle     []*conn // the last one used is the first to be used again
+	out      map[uint64]*job
+	sweeping bool // a sweep of idle ones is on its way
+}
+
+type (
+	listed struct { // what the list says of it
+		entry
+		gone bool
+	}
+	submission struct {
+		id        uint64
+		parcel    *parcel
+		at, until time.Time
+	}
+	probe   struct{}
+	callOff struct{ id uint64 }
+	trim    struct{} // descriptors are short
+	sweep   struct{}
+	due     struct{ job *job }
+	dialed  struct {
+		job  *job
+		conn *conn
+		err  error
+	}
+	wrote struct {
+		job  *job
+		conn *conn
+		err  error
+	}
+	heard struct { // a connection brought an answer, or its end
+		conn   *conn
+		answer *answer
+		err    error
+	}
+)
+
+// job is one submission or probe on its way.
+type job struct {
+	submission
+	probe bool
+	on    *conn  // nil while it comes up
+	sent  bool   // its last byte is written
+	cut   Ending // how its connection ended before the writer told how far it got
+	over  bool
+	timer *time.Timer
+}
+
+// conn is one connection, with one job at a time; its reader's goroutine lives as long as it does.
+type conn struct {
+	net.Conn
+	addr   string
+	job    *job
+	used   bool // a job ended well on it
+	closed bool
+	since  time.Time // idle since
+}
+
+func (a *appliance) serve() {
+	a.out = map[uint64]*job{}
+	var notes []any
+	for range a.box.bell {
+		notes = a.box.take(notes)
+		for _, n := range notes {
+			a.note(n)
+		}
+	}
+}
+
+func (a *appliance) note(n any) {
+	switch n := n.(type) {
+	case listed:
+		a.listed(n)
+	case submission:
+		j := &job{submission: n}
+		a.out[n.id] = j
+		a.begin(j)
+	case probe:
+		now := time.Now()
+		a.begin(&job{submission: submission{at: now, until: now.Add(a.pool.dial.Timeout), parcel: a.probing()}, probe: true})
+	case callOff:
+		if j := a.out[n.id]; j != nil {
+			a.finish(j, GivenUp, nil)
+		}
+	case due:
+		switch j := n.job; {
+		case j.over:
+		case j.on == nil:
+			a.finish(j, NotSent, nil) // nothing has been written, and the connection had time left
+		default:
+			a.finish(j, Silent, nil)
+		}
+	case dialed:
+		a.dialed(n)
+	case wrote:
+		a.wrote(n)
+	case heard:
+		a.heard(n)
+	case trim:
+		a.dropIdle(0)
+	case sweep:
+		a.sweeping = false
+		a.dropIdle(a.pool.idle / 2)
+		a.keepSweeping()
+	}
+}
+
+// probing asks for the load report where there are any.
+func (a *appliance) probing() *parcel {
+	target := "/ping"
+	if len(a.pool.fields) > 0 {
+		target = "/_load"
+	}
+	return pack("GET", target, a.addr, nil, nil)
+}
+
+// listed takes the address on. A process that was replaced takes its idle connections along: what would be
+// written to them ends as a reset.
+func (a *appliance) listed(n listed) {
+	if n.gone || n.Dial != a.addr || n.BornMs != a.born || n.Build != a.build {
+		a.dropIdle(0)
+	}
+	if !n.gone {
+		a.addr, a.born, a.build = n.Dial, n.BornMs, n.Build
+	}
+}
+
+// begin gives a job a connection: the idle one used last, or a new one.
+func (a *appliance) begin(j *job) {
+	wait := time.Until(j.until)
+	if wait <= 0 {
+		a.finish(j, NotSent, nil)
+		return
+	}
+	if j.timer == nil {
+		j.timer = time.AfterFunc(wait, func() { a.box.put(due{j}) })
+	}
+	if n := len(a.idle); n > 0 {
+		c := a.idle[n-1]
+		a.idle = a.idle[:n-1]
+		a.write(c, j)
+		return
+	}
+	if !a.pool.take() {
+		complaints.warn("budget", "no descriptor left for a connection", "appliance", a.name)
+		a.core.box.put(shortage{})
+		a.finish(j, NotSent, nil)
+		return
+	}
+	addr := a.addr
+	go func() {
+		nc, err := a.pool.dial.Dial("tcp", addr)
+		if err != nil {
+			a.pool.open.Add(-1)
+			a.box.put(dialed{job: j, err: err})
+			return
+		}
+		c := &conn{Conn: nc, addr: addr}
+		a.box.put(dialed{job: j, conn: c})
+		a.read(c)
+	}()
+}
+
+func (a *appliance) dialed(n dialed) {
+	switch {
+	case n.err == nil && n.job.over:
+		a.rest(n.conn) // its job gave up; the next one finds it ready
+	case n.err == nil:
+		a.write(n.conn, n.job)
+	case n.job.over:
+	case errors.Is(n.err, syscall.ECONNREFUSED), errors.Is(n.err, syscall.ECONNRESET):
+		a.finish(n.job, Refused, nil)
+	case errors.Is(n.err, syscall.EMFILE), errors.Is(n.err, syscall.ENFILE), errors.Is(n.err, syscall.EADDRNOTAVAIL):
+		complaints.warn("dial", "could not open a connection", "appliance", a.name, "err", n.err)
+		a.finish(n.job, NotSent, nil)
+	default:
+		a.finish(n.job, NeverUp, nil)
+	}
+}
+
+// writeAtOnce: a request under this fits into the buffer of a connection that has nothing else outstanding, so
+// writing it does not block the actor; a longer one gets a goroutine.
+const writeAtOnce = 8 << 10
+
+func (a *appliance) write(c *conn, j *job) {
+	c.job, j.on, j.sent, j.cut = j, c, false, Settled
+	raw := j.parcel.bytes(time.Until(j.until))
+	if len(raw) <= writeAtOnce {
+		_, err := c.Write(raw)
+		a.wrote(wrote{j, c, err})
+		return
+	}
+	go func() {
+		c.SetWriteDeadline(j.until)
+		_, err := c.Write(raw)
+		c.SetWriteDeadline(time.Time{})
+		a.box.put(wrote{j, c, err})
+	}()
+}
+
+// wrote: what did not leave whole has not run. On a connection that had been idle that is its end crossing the
+// request, no sign of the appliance's state, and another connection is tried.
+func (a *appliance) wrote(n wrote) {
+	j := n.job
+	switch {
+	case j.over:
+	case n.err != nil:
+		a.drop(n.conn)
+		if j.on = nil; n.conn.used {
+			a.begin(j)
+		} else {
+			a.finish(j, CutBefore, nil)
+		}
+	case j.cut != Settled:
+		a.finish(j, j.cut, nil)
+	default:
+		j.sent = true
+	}
+}
+
+// read tells of each answer, and of the connection's end.
+func (a *appliance) read(c *conn) {
+	br := bufio.NewReaderSize(c.Conn, 4<<10)
+	for {
+		_, err := br.Peek(1)
+		var ans *answer
+		if err == nil {
+			ans, err = readAnswer(br, a.pool.fields)
+		}
+		a.box.put(heard{c, ans, err})
+		if err != nil || ans.last {
+			return
+		}
+	}
+}
+
+func (a *appliance) heard(n heard) {
+	c, j := n.conn, n.conn.job
+	switch {
+	case c.closed:
+	case j == nil: // idle: it ended, or brought what nobody asked for
+		a.drop(c)
+	case n.err == nil:
+		a.finish(j, n.answer.ending, n.answer)
+	case j.sent:
+		a.finish(j, endOf(n.err), nil)
+	default:
+		j.cut = endOf(n.err)
+		a.drop(c) // the writer comes back and tells
+	}
+}
+
+// endOf tells a connection's end from an answer that can't be read.
+func endOf(err error) Ending {
+	var op *net.OpError
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op) {
+		return CutAfter
+	}
+	return Unreadable
+}
+
+// finish tells how a job ended, after its connection is at rest or closed: never two submissions at once.
+func (a *appliance) finish(j *job, how Ending, ans *answer) {
+	j.over = true
+	if j.timer != nil {
+		j.timer.Stop()
+	}
+	if c := j.on; c != nil {
+		if c.job = nil; ans != nil && !ans.last && j.sent {
+			c.used = true
+			a.rest(c)
+		} else {
+			a.drop(c)
+		}
+	}
+	took := brain.Micros(time.Since(j.at).Microseconds())
+	if how != Settled {
+		complaints.warn(a.name+how.String(), "appliance", "appliance", a.name, "ending", how.String(),
+			"probe", j.probe, "after_ms", took/1000)
+	}
+	if j.probe {
+		p := brain.Probed{Appliance: a.id, Outcome: how.outcome(), Took: took}
+		if ans != nil {
+			if p.Load = ans.load; p.Load == nil {
+				p.Load = report(ans.body, a.pool.fields)
+			}
+		}
+		a.core.box.put(p)
+		return
+	}
+	delete(a.out, j.id)
+	e := ended{Ended: brain.Ended{ID: j.id, Appliance: a.id, Outcome: how.outcome(), Took: took}, ending: how, answer: ans}
+	if ans != nil {
+		e.Load = ans.load
+	}
+	a.core.box.put(e)
+}
+
+func (a *appliance) rest(c *conn) {
+	if c.closed || c.addr != a.addr {
+		a.drop(c)
+		return
+	}
+	c.since = time.Now()
+	a.idle = append(a.idle, c)
+	a.keepSweeping()
+}
+
+func (a *appliance) drop(c *conn) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.Close()
+	a.pool.open.Add(-1)
+	if i := slices.Index(a.idle, c); i >= 0 {
+		a.idle = slices.Delete(a.idle, i, i+1)
+	}
+}
+
+// dropIdle closes what has been idle that long. Half of the told time keeps well clear of the appliance's own
+// closing, which would make a reset of a request that crosses it.
+func (a *appliance) dropIdle(long time.Duration) {
+	for _, c := range slices.Clone(a.idle) {
+		if time.Since(c.since) >= long {
+			a.drop(c)
+		}
+	}
+}
+
+func (a *appliance) keepSweeping() {
+	if len(a.idle) > 0 && !a.sweeping && a.pool.idle > 0 {
+		a.sweeping = true
+		time.AfterFunc(a.pool.idle/8, func() { a.box.put(sweep{}) })
+	}
+}
--- /dev/null
+++ b/sockets/codec.go
@@ -0,0 +1,343 @@
+package sockets
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"encoding/xml"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"switchfork/brain"
+)
+
+// This file owns the forms of the users' protocol: each message is decoded here once into a small typed value,
+// or encoded here once. It must never open a connection, keep anything or look at a clock.
+
+const bodyLimit = 64 << 10 // the protocol's
+
+var errTooLong = errors.New("body is over 64 KiB")
+
+// parcel is a txn on its way to appliances, encoded but for the time that remains.
+type parcel struct{ head, body []byte }
+
+// pack encodes a client's request; target is its path and query as they came.
+func pack(method, target, host string, header http.Header, body []byte) *parcel {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", method, target, host, len(body))
+	header.Write(&b)
+	return &parcel{b.Bytes(), body}
+}
+
+// bytes is the whole request, with the time that the agent will wait.
+func (p *parcel) bytes(wait time.Duration) []byte {
+	out := make([]byte, 0, len(p.head)+len(p.body)+32)
+	out = append(out, p.head...)
+	out = append(out, "X-Deadline-Ms: "...)
+	out = strconv.AppendInt(out, max(1, wait.Milliseconds()), 10)
+	out = append(out, "\r\n\r\n"...)
+	return append(out, p.body...)
+}
+
+// ownHeaders are written by pack and bytes, or make no sense on an appliance's connection.
+var ownHeaders = []string{"X-Deadline-Ms", "Content-Length", "Transfer-Encoding", "Host", "Connection", "Expect"}
+
+// order is what a client's request says.
+type order struct {
+	product, customer int
+	key               uint64
+	wait              time.Duration
+	work              brain.Micros
+	repeat            bool
+}
+
+// counter reads clients' requests by the names that were told at the start.
+type counter struct {
+	names     []string
+	effects   []brain.Effect
+	expiry    []time.Duration
+	customers []string
+}
+
+// fault is a request that is answered without the module.
+type fault struct {
+	status int
+	why    string
+}
+
+func (f *fault) Error() string { return f.why }
+
+// read decodes a request; a nil order comes with a fault.
+func (c *counter) read(r *http.Request, target string) (*order, *fault) {
+	bad := func(status int, format string, with ...any) (*order, *fault) {
+		return nil, &fault{status, fmt.Sprintf(format, with...)}
+	}
+	path, query, _ := strings.Cut(target, "?")
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	o := &order{product: slices.Index(c.names, first)}
+	if o.product < 0 {
+		o.product = slices.Index(c.names, r.Header.Get("X-Class"))
+	}
+	if o.product < 0 {
+		return bad(http.StatusNotFound, "no product %.40q", first)
+	}
+	inquiry := c.effects[o.product] == brain.InquiryLike
+	if inquiry != (r.Method == http.MethodGet) || !inquiry && r.Method != http.MethodPost {
+		return bad(http.StatusMethodNotAllowed, "%.20q is not the method of %s", r.Method, first)
+	}
+	if c.effects[o.product] == brain.Referenced && r.Header.Get("Idempotency-Key") == "" {
+		return bad(http.StatusBadRequest, "no Idempotency-Key")
+	}
+	if r.Header.Get("X-Request-Id") == "" {
+		return bad(http.StatusBadRequest, "no X-Request-Id")
+	}
+	wait := r.Header.Get("X-Deadline-Ms")
+	if o.wait = c.expiry[o.product]; wait != "" {
+		ms, err := strconv.ParseInt(wait, 10, 64)
+		if err != nil || ms > math.MaxInt32 {
+			return bad(http.StatusBadRequest, "X-Deadline-Ms is %.20q", wait)
+		}
+		o.wait = time.Duration(ms) * time.Millisecond
+	}
+	if o.wait <= 0 {
+		return bad(http.StatusGatewayTimeout, "its time is over")
+	}
+	// A customer that was not told shares one number with all others of that sort.
+	if o.customer = slices.Index(c.customers, r.Header.Get("X-Tenant")); o.customer < 0 {
+		o.customer = len(c.customers)
+	}
+	o.key = keyOf(query)
+	if us, err := strconv.ParseFloat(r.Header.Get("X-Cost-Hint"), 64); err == nil && us > 0 && us < 1e9 {
+		o.work = brain.Micros(us)
+	}
+	o.repeat = r.Header.Get("X-Retry") == "1"
+	return o, nil
+}
+
+// keyOf is the 64 bits of sid, or a hash of what else it holds; 0 where there is none.
+func keyOf(query string) uint64 {
+	for query != "" {
+		var pair string
+		pair, query, _ = strings.Cut(query, "&")
+		sid, ok := strings.CutPrefix(pair, "sid=")
+		if !ok || sid == "" {
+			continue
+		}
+		if v, err := strconv.ParseUint(sid, 16, 64); err == nil && len(sid) == 16 && v != 0 {
+			return v
+		}
+		return hash64(sid)
+	}
+	return 0
+}
+
+func hash64(s string) uint64 {
+	h := fnv.New64a()
+	io.WriteString(h, s)
+	return h.Sum64()
+}
+
+// readBody takes a body whole, or says that it is too long.
+func readBody(r io.Reader, length int64) ([]byte, error) {
+	if r == nil || length == 0 {
+		return nil, nil
+	}
+	if length > bodyLimit {
+		return nil, errTooLong
+	}
+	body, err := io.ReadAll(io.LimitReader(r, bodyLimit+1))
+	if err == nil && len(body) > bodyLimit {
+		err = errTooLong
+	}
+	return body, err
+}
+
+// answer is an appliance's, whole.
+type answer struct {
+	ending Ending
+	kind   string // its Content-Type
+	body   []byte
+	load   []float32
+	last   bool // the connection ends with it
+}
+
+// readAnswer takes one answer off a connection.
+func readAnswer(from *bufio.Reader, fields []string) (*answer, error) {
+	for {
+		r, err := http.ReadResponse(from, nil)
+		if err != nil {
+			return nil, err
+		}
+		if r.StatusCode >= 100 && r.StatusCode < 200 {
+			continue // a word in between
+		}
+		a := &answer{kind: r.Header.Get("Content-Type"), last: r.Close}
+		if a.body, err = readBody(r.Body, r.ContentLength); err != nil {
+			return nil, err
+		}
+		r.Body.Close()
+		a.ending = Errored
+		switch {
+		case r.StatusCode == http.StatusOK:
+			a.ending = Settled
+		case r.Header.Get("X-Not-Run") == "1" && (r.StatusCode == 503 || r.StatusCode == 504):
+			a.ending = TurnedAway
+		}
+		a.load = report([]byte(r.Header.Get("X-Load")), fields)
+		return a, nil
+	}
+}
+
+// report reads a load report's fields in the told order; nil where one is missing.
+func report(raw []byte, fields []string) []float32 {
+	var said map[string]float64
+	if len(fields) == 0 || len(raw) == 0 || json.Unmarshal(raw, &said) != nil {
+		return nil
+	}
+	out := make([]float32, len(fields))
+	for i, f := range fields {
+		v, ok := said[f]
+		if !ok {
+			return nil
+		}
+		out[i] = float32(v)
+	}
+	return out
+}
+
+// roll is a line of discovery: the whole list, or what changed.
+type roll struct {
+	Seq   uint64  `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []entry `json:"hosts"`
+}
+
+// entry is one appliance there.
+type entry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMs float64 `json:"born_ms"`
+	Build  int     `json:"build"`
+}
+
+func readRoll(raw []byte) (roll, error) {
+	var r roll
+	err := json.Unmarshal(raw, &r)
+	return r, err
+}
+
+var healths = map[string]brain.State{"active": brain.Ready, "leaving": brain.Draining, "left": brain.Gone}
+
+// row is the entry as the module knows it, but for its number.
+func (e entry) row(zones []string) (brain.Row, error) {
+	state, known := healths[e.Health]
+	zone := slices.Index(zones, e.Site)
+	switch {
+	case e.Host == "":
+		return brain.Row{}, errors.New("an entry without host")
+	case !known:
+		return brain.Row{}, fmt.Errorf("%.40q has health %.20q", e.Host, e.Health)
+	case zone < 0 && state != brain.Gone:
+		return brain.Row{}, fmt.Errorf("%.40q is at site %.20q", e.Host, e.Site)
+	case !(e.BornMs >= 0 && e.BornMs < 1e15):
+		return brain.Row{}, fmt.Errorf("%.40q has born_ms %v", e.Host, e.BornMs)
+	}
+	return brain.Row{Build: e.Build, Zone: max(0, zone), State: state, Cell: e.Block,
+		Started: brain.Micros(e.BornMs * 1000), Weight: e.Share}, nil
+}
+
+// news is where the newest build stands, in any of the launcher's three forms.
+type news struct {
+	Image    int     `json:"image" xml:"image"`
+	Ring     int     `json:"ring" xml:"ring"`
+	Progress string  `json:"progress" xml:"progress"`
+	Ceiling  float64 `json:"ceiling" xml:"ceiling"`
+	LagMs    float64 `json:"lag_ms" xml:"lag_ms"`
+}
+
+var phases = map[string]brain.Phase{"testing": brain.OnTrial, "recalling": brain.GoingBack,
+	"live": brain.Released, "recalled": brain.Withdrawn}
+
+func (n news) staged() (brain.Staged, error) {
+	phase, known := phases[n.Progress]
+	if !known || n.Image < 0 || n.Ring < 0 || !(n.Ceiling >= 0 && n.Ceiling <= 1) || !(n.LagMs >= 0 && n.LagMs < 1e12) {
+		return brain.Staged{}, fmt.Errorf("news that makes no sense: %+v", n)
+	}
+	return brain.Staged{Build: n.Image, Stage: n.Ring, Phase: phase, Cap: n.Ceiling,
+		Age: brain.Micros(n.LagMs * 1000)}, nil
+}
+
+func readNewsJSON(raw []byte) (brain.Staged, error) {
+	var n news
+	if err := json.Unmarshal(raw, &n); err != nil {
+		return brain.Staged{}, err
+	}
+	return n.staged()
+}
+
+// readNewsForm reads an event's data line.
+func readNewsForm(data string) (brain.Staged, error) {
+	v, err := url.ParseQuery(data)
+	if err != nil {
+		return brain.Staged{}, err
+	}
+	n := news{Progress: v.Get("progress")}
+	var errs [4]error
+	n.Image, errs[0] = strconv.Atoi(v.Get("image"))
+	n.Ring, errs[1] = strconv.Atoi(v.Get("ring"))
+	n.Ceiling, errs[2] = strconv.ParseFloat(v.Get("ceiling"), 64)
+	n.LagMs, errs[3] = strconv.ParseFloat(v.Get("lag_ms"), 64)
+	if err = errors.Join(errs[:]...); err != nil {
+		return brain.Staged{}, err
+	}
+	return n.staged()
+}
+
+var verdicts = []string{brain.NoVote: "clear", brain.On: "approve", brain.Hold: "wait", brain.Back: "reject"}
+
+func voteForm(v brain.Vote) string {
+	return fmt.Sprintf("Action=RecordOpinion&image=%d&ring=%d&opinion=%s", v.Build, v.Stage, verdicts[v.Verdict])
+}
+
+// readVoteAnswer tells how a vote ended and, if it counts, where the build stands.
+func readVoteAnswer(status int, raw []byte) (Ending, brain.Staged) {
+	var ok struct {
+		News []news `xml:"groups>item"`
+	}
+	var no struct {
+		Code string `xml:"Code"`
+	}
+	switch {
+	case status == http.StatusOK:
+		if xml.Unmarshal(raw, &ok) == nil && len(ok.News) == 1 {
+			if s, err := ok.News[0].staged(); err == nil {
+				return Settled, s
+			}
+		}
+	case status == http.StatusBadRequest && xml.Unmarshal(raw, &no) == nil:
+		switch no.Code {
+		case "Throttling":
+			return TurnedAway, brain.Staged{}
+		case "ConditionFailed":
+			return Outdated, brain.Staged{}
+		case "ValidationError":
+			return Errored, brain.Staged{}
+		}
+	case status == http.StatusInternalServerError:
+		return Errored, brain.Staged{}
+	}
+	return Silent, brain.Staged{} // it may count
+}
--- /dev/null
+++ b/sockets/core.go
@@ -0,0 +1,332 @@
+package sockets
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"time"
+
+	"switchfork/brain"
+)
+
+// This file owns the module's actor: its mailbox, its clock, its bell, and who gets each of its orders. Nothing
+// else calls the module. It must never decide anything about a txn: what the module did not order does not happen.
+
+// mailbox is where an actor gets its notes; putting one never waits.
+type mailbox[T any] struct {
+	mu    sync.Mutex
+	notes []T
+	bell  chan struct{} // holds one token while there are notes
+}
+
+func newMailbox[T any]() *mailbox[T] { return &mailbox[T]{bell: make(chan struct{}, 1)} }
+
+func (m *mailbox[T]) put(n T) {
+	m.mu.Lock()
+	m.notes = append(m.notes, n)
+	m.mu.Unlock()
+	select {
+	case m.bell <- struct{}{}:
+	default:
+	}
+}
+
+// take empties the mailbox into a slice; the one handed in is used again.
+func (m *mailbox[T]) take(used []T) []T {
+	clear(used)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := m.notes
+	m.notes = used[:0]
+	return out
+}
+
+// Clock counts microseconds: one look at the wall, then monotonic, so that times of starts fit it and it never
+// runs back.
+type Clock struct{ start time.Time }
+
+func NewClock() Clock { return Clock{time.Now()} }
+
+func (c Clock) at(t time.Time) brain.Micros {
+	return c.start.UnixMicro() + t.Sub(c.start).Microseconds()
+}
+func (c Clock) now() brain.Micros { return c.at(time.Now()) }
+
+// reply is what the client gets in the end: an appliance's answer, or the module's own no.
+type reply struct {
+	settled *answer
+	refused bool // a repeat does no harm
+	holdOff brain.Micros
+}
+
+// open is a txn that the module has, or that has a submission out.
+type open struct {
+	parcel  *parcel
+	reply   chan reply // holds one
+	expires time.Time
+	over    bool // it has its final answer, or nobody waits for one
+	out     int  // submissions that have not ended
+	on      *appliance
+}
+
+// What the others put into the core's mailbox; the module's own events come as they are.
+type (
+	arrived struct {
+		taken brain.Taken
+		*open
+	}
+	ended struct {
+		brain.Ended
+		ending Ending
+		answer *answer
+	}
+	listing struct {
+		brain.Listed
+		hosts []entry // beside the rows
+	}
+	shortage struct{}                     // descriptors for connections to appliances are used up
+	calledIn struct{ done chan struct{} } // answered when all before it has been handled
+)
+
+// Core is the module's actor.
+type Core struct {
+	module     brain.Router
+	clock      Clock
+	box        *mailbox[any]
+	urgent     *mailbox[any] // news and list changes are not kept waiting
+	wakes      []brain.Wake  // by time
+	txns       map[uint64]*open
+	appliances map[uint32]*appliance
+	all        []*appliance // in the order of their coming
+	hire       func(uint32, entry) *appliance
+	vote       func(brain.Vote)
+	tell       func(brain.Tell)
+}
+
+// NewCore puts the module behind a mailbox. hire makes an appliance's actor; vote and tell carry orders on.
+func NewCore(module brain.Router, clock Clock) *Core {
+	return &Core{module: module, clock: clock, box: newMailbox[any](), urgent: newMailbox[any](),
+		txns: map[uint64]*open{}, appliances: map[uint32]*appliance{}}
+}
+
+// Serve connects the orders and empties the mailboxes until the end.
+func (c *Core) Serve(ctx context.Context, pool *Pool, launcher *Launcher, peers *Peers) {
+	c.hire = func(id uint32, e entry) *appliance { return pool.hire(id, e, c) }
+	c.vote, c.tell = launcher.put, peers.put
+	timer := time.NewTimer(time.Hour)
+	var notes []any
+	for {
+		if len(c.wakes) > 0 {
+			timer.Reset(time.Duration(c.wakes[0].At-c.clock.now()) * time.Microsecond)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-c.box.bell:
+		case <-c.urgent.bell:
+		}
+		notes = c.box.take(notes)
+		c.first()
+		for _, n := range notes {
+			c.note(n)
+			c.first()
+		}
+		for now := c.clock.now(); len(c.wakes) > 0 && c.wakes[0].At <= now; {
+			token := c.wakes[0].Token
+			c.wakes = slices.Delete(c.wakes, 0, 1)
+			c.handle(brain.Bell{Token: token})
+		}
+	}
+}
+
+func (c *Core) first() {
+	for _, n := range c.urgent.take(nil) {
+		c.note(n)
+	}
+}
+
+func (c *Core) note(n any) {
+	switch n := n.(type) {
+	case arrived:
+		c.txns[n.taken.ID] = n.open
+		c.handle(n.taken)
+	case brain.Abandoned:
+		if t := c.txns[n.ID]; t != nil && !t.over {
+			c.over(n.ID, t)
+			c.handle(n)
+		}
+	case ended:
+		c.ended(n)
+	case listing:
+		c.listing(n)
+	case shortage:
+		for _, a := range c.all {
+			a.box.put(trim{})
+		}
+	case calledIn:
+		close(n.done)
+	default:
+		c.handle(n)
+	}
+}
+
+func (c *Core) over(id uint64, t *open) {
+	if t.over = true; t.out == 0 {
+		delete(c.txns, id)
+	}
+}
+
+// ended closes a submission. The first settled answer is the client's.
+func (c *Core) ended(n ended) {
+	t := c.txns[n.ID]
+	if t == nil {
+		n.Over = true
+	} else {
+		t.out--
+		if !t.over && n.ending == Settled {
+			t.reply <- reply{settled: n.answer}
+			t.over = true
+		}
+		if n.Over = t.over; t.over && t.out == 0 {
+			delete(c.txns, n.ID)
+		}
+	}
+	c.handle(n.Ended)
+}
+
+// listing makes actors for new appliances and passes addresses on before the module hears of the rows.
+func (c *Core) listing(n listing) {
+	named := map[uint32]bool{}
+	for i, row := range n.Rows {
+		named[row.ID] = true
+		a := c.appliances[row.ID]
+		if a == nil {
+			a = c.hire(row.ID, n.hosts[i])
+			c.appliances[row.ID], c.all = a, append(c.all, a)
+		}
+		a.box.put(listed{n.hosts[i], row.State == brain.Gone})
+	}
+	if n.Full {
+		for _, a := range c.all {
+			if !named[a.id] {
+				a.box.put(listed{gone: true})
+			}
+		}
+	}
+	c.handle(n.Listed)
+}
+
+// handle is the only place that calls the module. A panic there ends the process: a module in an unknown state
+// could break any rule.
+func (c *Core) handle(ev brain.Event) {
+	defer func() {
+		if p := recover(); p != nil {
+			slog.Error("module panicked", "panic", p, "event", fmt.Sprintf("%T%+v", ev, ev), "stack", string(debug.Stack()))
+			panic(p)
+		}
+	}()
+	for _, o := range c.module.Handle(c.clock.now(), ev) {
+		c.carryOut(o)
+	}
+}
+
+func (c *Core) carryOut(o brain.Order) {
+	switch o := o.(type) {
+	case brain.Wake:
+		at, _ := slices.BinarySearchFunc(c.wakes, o.At, func(w brain.Wake, at brain.Micros) int { return int(w.At - at) })
+		c.wakes = slices.Insert(c.wakes, at, o)
+	case brain.Submit:
+		c.submit(o)
+	case brain.Decline:
+		c.answer(o.ID, reply{refused: true, holdOff: o.HoldOff})
+	case brain.Void:
+		c.answer(o.ID, reply{})
+	case brain.Vote:
+		c.vote(o)
+	case brain.Probe:
+		if a := c.appliances[o.Appliance]; a != nil {
+			a.box.put(probe{})
+		}
+	case brain.CallOff:
+		if t := c.txns[o.ID]; t != nil && t.out > 0 {
+			t.on.box.put(callOff{o.ID})
+		}
+	case brain.Tell:
+		c.tell(o)
+	case brain.Watch: // the watch on the list always stands
+	case brain.Say:
+		slog.Info("module", "says", o.Text)
+	default:
+		panic(fmt.Sprintf("no way to carry out %T", o))
+	}
+}
+
+// submit hands a submission on; one that cannot be sent at all ends at once.
+func (c *Core) submit(o brain.Submit) {
+	t, a := c.txns[o.ID], c.appliances[o.Appliance]
+	now := time.Now()
+	if t == nil || t.over || t.out > 0 || a == nil {
+		slog.Error("submission that cannot be", "txn", o.ID, "appliance", o.Appliance)
+		c.box.put(ended{Ended: brain.Ended{ID: o.ID, Appliance: o.Appliance, Outcome: NotSent.outcome()}, ending: NotSent})
+		if t != nil {
+			t.out++
+		}
+		return
+	}
+	until := t.expires
+	if patient := now.Add(time.Duration(o.Patience) * time.Microsecond); o.Patience != 0 && patient.Before(until) {
+		until = patient
+	}
+	t.out, t.on = t.out+1, a
+	a.box.put(submission{id: o.ID, parcel: t.parcel, at: now, until: until})
+}
+
+func (c *Core) answer(id uint64, r reply) {
+	if t := c.txns[id]; t != nil && !t.over {
+		t.reply <- r
+		c.over(id, t)
+	}
+}
+
+// Settle waits until all that was put in before has been handled.
+func (c *Core) Settle(ctx context.Context) {
+	done := make(chan struct{})
+	c.box.put(calledIn{done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// sieve lets one line a second through for each thing that is wrong, so that bad input can't flood the log.
+type sieve struct {
+	mu   sync.Mutex
+	last map[string]time.Time
+}
+
+var complaints = &sieve{last: map[string]time.Time{}}
+
+const (
+	sieveEvery = time.Second
+	sieveMost  = 256 // kinds of complaint kept apart; beyond that they are forgotten and start anew
+)
+
+func (s *sieve) warn(kind, text string, args ...any) {
+	s.mu.Lock()
+	now := time.Now()
+	fresh := now.Sub(s.last[kind]) >= sieveEvery
+	if fresh {
+		if len(s.last) >= sieveMost {
+			clear(s.last)
+		}
+		s.last[kind] = now
+	}
+	s.mu.Unlock()
+	if fresh {
+		slog.Warn(text, args...)
+	}
+}
--- /dev/null
+++ b/sockets/ending.go
@@ -0,0 +1,48 @@
+package sockets
+
+import "switchfork/brain"
+
+// This file owns the one list of ways in which a connection's use can end, and what each means to the module.
+// It must never look at figures or decide what to do about an ending.
+
+// Ending is how a submission, a probe or a call ended.
+type Ending int
+
+const (
+	Settled     Ending = iota // a whole 200 answer
+	Errored                   // an answer that is neither 200 nor a turning away
+	TurnedAway                // an answer that says that it never ran
+	Refused                   // the connection was refused
+	NeverUp                   // the connection did not come up in its time
+	CutBefore                 // it broke before the last byte was written
+	CutAfter                  // it broke after that
+	Silent                    // nothing came while the agent waited
+	GivenUp                   // the module called it off
+	Unreadable                // what came is no answer
+	NotSent                   // the agent had no time or no descriptor left for it
+	Outdated                  // the call names what no longer stands
+	endingCount               // not an ending
+)
+
+// meaning is the one place that maps endings to outcomes, with the words that the log uses.
+var meaning = [endingCount]struct {
+	outcome brain.Outcome
+	word    string
+}{
+	Settled:    {brain.OK, "settled"},
+	Errored:    {brain.Errored, "error"},
+	TurnedAway: {brain.TurnedOff, "turned away"},
+	Refused:    {brain.NoConnect, "connection refused"},
+	NeverUp:    {brain.NoConnect, "connection never came up"},
+	CutBefore:  {brain.NoConnect, "broke before the last byte"},
+	CutAfter:   {brain.Broken, "broke after the last byte"},
+	Silent:     {brain.TimedOut, "nothing in time"},
+	GivenUp:    {brain.CalledOff, "called off"},
+	Unreadable: {brain.Broken, "unreadable answer"},
+	NotSent:    {brain.Moot, "not sent"},
+	Outdated:   {brain.Moot, "outdated"},
+}
+
+func (e Ending) outcome() brain.Outcome { return meaning[e].outcome }
+
+func (e Ending) String() string { return meaning[e].word }
--- /dev/null
+++ b/sockets/front.go
@@ -0,0 +1,241 @@
+package sockets
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"switchfork/brain"
+)
+
+// This file owns the clients' side: httputil.ReverseProxy before a RoundTripper that hands each txn to the module's
+// actor and waits for its one answer; health; the drain. It must never send to an appliance or word an answer of
+// its own for a txn that the module has.
+
+// Front serves clients.
+type Front struct {
+	core   *Core
+	count  *counter
+	lastID atomic.Uint64
+	server *http.Server
+	door   *door
+	drains atomic.Bool
+}
+
+// headWait: how long a client may take over a request's head, far over what any takes on a network that works.
+const headWait = 10 * time.Second
+
+// NewFront reads requests by the products' names, effects and expiries and the customers' names; most is the
+// number of client connections.
+func NewFront(core *Core, names []string, effects []brain.Effect, expiry []time.Duration, customers []string, most int) *Front {
+	f := &Front{core: core, count: &counter{names, effects, expiry, customers}}
+	quiet := slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
+	proxy := &httputil.ReverseProxy{Transport: f, ErrorLog: quiet, ErrorHandler: f.failed,
+		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host }}
+	f.door = newDoor(most)
+	f.server = &http.Server{ErrorLog: quiet, ReadHeaderTimeout: headWait, ConnState: f.door.state,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/_health" {
+				f.health(w)
+				return
+			}
+			// The path goes on as it came, also where the proxy would tidy it.
+			proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), targetKey{}, r.RequestURI)))
+		})}
+	return f
+}
+
+type targetKey struct{}
+
+func (f *Front) health(w http.ResponseWriter) {
+	if f.drains.Load() {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ok\n")
+}
+
+// RoundTrip is a txn's way through the agent.
+func (f *Front) RoundTrip(r *http.Request) (*http.Response, error) {
+	at := time.Now()
+	target, _ := r.Context().Value(targetKey{}).(string)
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI()
+	}
+	o, bad := f.count.read(r, target)
+	if bad != nil {
+		return f.turnAway(r, bad)
+	}
+	body, err := readBody(r.Body, r.ContentLength)
+	switch {
+	case errors.Is(err, errTooLong):
+		return f.turnAway(r, &fault{http.StatusRequestEntityTooLarge, err.Error()})
+	case err != nil:
+		return nil, err // the client has gone
+	}
+	for _, h := range ownHeaders {
+		r.Header.Del(h)
+	}
+	if r.Header.Get("User-Agent") == "" {
+		r.Header.Del("User-Agent")
+	}
+	t := &open{parcel: pack(r.Method, target, r.Host, r.Header, body), reply: make(chan reply, 1), expires: at.Add(o.wait)}
+	id := f.lastID.Add(1)
+	f.core.box.put(arrived{brain.Taken{ID: id, Product: o.product, Customer: o.customer, Key: o.key,
+		Expires: f.core.clock.at(t.expires), Work: o.work, Repeat: o.repeat}, t})
+	select {
+	case said := <-t.reply:
+		return said.response(r), nil
+	case <-r.Context().Done():
+		f.core.box.put(brain.Abandoned{ID: id})
+		return nil, r.Context().Err()
+	}
+}
+
+// turnAway answers what is no txn; the module never hears of it.
+func (f *Front) turnAway(r *http.Request, bad *fault) (*http.Response, error) {
+	complaints.warn("request"+bad.why, "request turned away", "status", bad.status, "why", bad.why)
+	return respond(r, bad.status, "text/plain; charset=utf-8", []byte(bad.why+"\n")), nil
+}
+
+// response puts a final answer into the protocol's words.
+func (a reply) response(r *http.Request) *http.Response {
+	switch {
+	case a.settled != nil:
+		return respond(r, http.StatusOK, a.settled.kind, a.settled.body)
+	case a.refused:
+		res := respond(r, http.StatusServiceUnavailable, "text/plain; charset=utf-8", []byte("declined; a repeat does no harm\n"))
+		if a.holdOff > 0 {
+			res.Header.Set("Retry-After", strconv.FormatFloat(float64(a.holdOff)/1e6, 'f', 3, 64))
+		}
+		return res
+	}
+	return respond(r, http.StatusGatewayTimeout, "text/plain; charset=utf-8", []byte("voided\n"))
+}
+
+func respond(r *http.Request, status int, kind string, body []byte) *http.Response {
+	h := http.Header{"Content-Length": {strconv.Itoa(len(body))}}
+	if kind != "" {
+		h.Set("Content-Type", kind)
+	}
+	return &http.Response{StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: h,
+		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)), Request: r}
+}
+
+// failed is for a client that went away, or whose body could not be read.
+func (f *Front) failed(w http.ResponseWriter, r *http.Request, err error) {
+	if r.Context().Err() == nil {
+		complaints.warn("body", "request not read", "err", err)
+	}
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+// Listen opens the door to clients; health answers from here on.
+func (f *Front) Listen(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	f.door.Listener = l
+	return nil
+}
+
+// Serve takes clients until Drain has ended.
+func (f *Front) Serve() error {
+	if err := f.server.Serve(f.door); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// comeStill is the protocol's: new connections and what was on its way still come for so long after SIGTERM.
+const comeStill = 700 * time.Millisecond
+
+// Drain takes what still comes, closes connections with their answers, and returns when all taken has its answer.
+func (f *Front) Drain(ctx context.Context) error {
+	f.drains.Store(true)
+	f.server.SetKeepAlivesEnabled(false)
+	select {
+	case <-ctx.Done():
+	case <-time.After(comeStill):
+	}
+	return f.server.Shutdown(ctx)
+}
+
+// door holds the number of client connections, so that none lacks descriptors that submissions need. Over it, the
+// client that has been idle longest is closed; while all are busy the next one waits in the kernel's queue.
+type door struct {
+	net.Listener
+	free chan struct{}
+	mu   sync.Mutex
+	idle map[net.Conn]time.Time
+	in   map[net.Conn]bool
+}
+
+func newDoor(most int) *door {
+	d := &door{free: make(chan struct{}, most), idle: map[net.Conn]time.Time{}, in: map[net.Conn]bool{}}
+	for range most {
+		d.free <- struct{}{}
+	}
+	return d
+}
+
+func (d *door) Accept() (net.Conn, error) {
+	select {
+	case <-d.free:
+	default:
+		d.closeIdle()
+		<-d.free
+	}
+	c, err := d.Listener.Accept()
+	if err != nil {
+		d.free <- struct{}{}
+		return nil, err
+	}
+	d.mu.Lock()
+	d.in[c] = true
+	d.mu.Unlock()
+	return c, nil
+}
+
+func (d *door) closeIdle() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var oldest net.Conn
+	for c, since := range d.idle {
+		if oldest == nil || since.Before(d.idle[oldest]) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		delete(d.idle, oldest)
+		go oldest.Close()
+	}
+	complaints.warn("door", "all client connections are in use", "open", len(d.in), "idle", len(d.idle))
+}
+
+// state is told by the server; a closed connection's place is free again.
+func (d *door) state(c net.Conn, s http.ConnState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.idle, c)
+	switch s {
+	case http.StateIdle:
+		d.idle[c] = time.Now()
+	case http.StateClosed, http.StateHijacked:
+		if d.in[c] {
+			delete(d.in, c)
+			d.free <- struct{}{}
+		}
+	}
+}
--- /dev/null
+++ b/sockets/peers.go
@@ -0,0 +1,106 @@
+package sockets
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"slices"
+
+	"switchfork/brain"
+)
+
+// This file owns the datagrams between agents: one socket, senders known by their address. It must never read
+// what they say.
+
+const datagramLimit = 256 // the protocol's
+
+// Peers is the actor of that socket; with no address to listen on it drops what it is given.
+type Peers struct {
+	core  *Core
+	box   *mailbox[brain.Tell]
+	sock  *net.UDPConn
+	known []netip.AddrPort // by the agents' numbers
+	all   netip.AddrPort
+}
+
+func NewPeers(core *Core, listen string, known []string, all string) (*Peers, error) {
+	p := &Peers{core: core, box: newMailbox[brain.Tell]()}
+	if listen == "" {
+		return p, nil
+	}
+	for _, a := range known {
+		addr, err := netip.ParseAddrPort(a)
+		if err != nil {
+			return nil, fmt.Errorf("setting config.peers: %w", err)
+		}
+		p.known = append(p.known, addr)
+	}
+	var err error
+	if all != "" {
+		if p.all, err = netip.ParseAddrPort(all); err != nil {
+			return nil, fmt.Errorf("setting config.peers_all: %w", err)
+		}
+	}
+	own, err := netip.ParseAddrPort(listen)
+	if err != nil {
+		return nil, fmt.Errorf("setting config.peer_listen: %w", err)
+	}
+	if p.sock, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(own)); err != nil {
+		return nil, fmt.Errorf("setting config.peer_listen: %w", err)
+	}
+	return p, nil
+}
+
+func (p *Peers) put(t brain.Tell) { p.box.put(t) }
+
+// Serve sends what the mailbox holds, and hands on what comes.
+func (p *Peers) Serve(ctx context.Context) {
+	if p.sock != nil {
+		go p.listen()
+		defer p.sock.Close()
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.box.bell:
+		}
+		for _, t := range p.box.take(nil) {
+			p.send(t)
+		}
+	}
+}
+
+func (p *Peers) send(t brain.Tell) {
+	to := p.all
+	if uint32(t.To) != math.MaxUint32 {
+		if to = (netip.AddrPort{}); t.To >= 0 && t.To < len(p.known) {
+			to = p.known[t.To]
+		}
+	}
+	if p.sock == nil || !to.IsValid() || len(t.Text) > datagramLimit {
+		complaints.warn("tell", "message not sent", "to", t.To, "bytes", len(t.Text))
+		return
+	}
+	if _, err := p.sock.WriteToUDPAddrPort(t.Text, to); err != nil {
+		complaints.warn("tell", "message not sent", "to", t.To, "err", err)
+	}
+}
+
+func (p *Peers) listen() {
+	buf := make([]byte, datagramLimit+1)
+	for {
+		n, from, err := p.sock.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return // closed at the end; datagrams have no other
+		}
+		who := slices.Index(p.known, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		if who < 0 || n > datagramLimit {
+			complaints.warn("datagram", "datagram dropped", "from", from.String(), "bytes", n)
+			continue
+		}
+		p.core.box.put(brain.Heard{From: who, Text: slices.Clone(buf[:n])})
+	}
+}
--- a/wire/adapter.go
+++ b/wire/adapter.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"switchfork/brain"
+	"switchfork/charter"
 )
 
 var outcomes = map[int]brain.Outcome{100: brain.OK, 301: brain.Errored, 302: brain.TurnedOff,
@@ -84,7 +85,7 @@
 		if r.err != nil {
 			return r.err
 		}
-		m, err := open(seed, env)
+		m, err := charter.Pairs(env).Open(seed)
 		if err != nil {
 			return fmt.Errorf("instance %d: %w", who, err)
 		}
