One purse of descriptors for clients and appliances; the count asked once a ledger state

Checked: a CPU profile of the busiest agent, which stood at 0.99 of its core: 26% in brain.desk.room, which every held txn asked at every beat over some thousands of entries; idle connections closed under requests (door.closeIdle), and the door asleep while others fell idle. Ruled out: the appliances' side, at 334 connections. Now room remembers its last answer for a ledger state (same answers, so the module's decisions stay), idle clients are retired by their read deadline, answers end connections while few descriptors are left, and clients and appliances share one purse.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -291,8 +291,8 @@
 // windowEdge: two beats longer than the told window, so that no rounding of its ends matters.
 const windowEdge = 2 * beatEvery
 
-// room holds the cap over every window that begins in the last one, whatever comes later.
-func (d *desk) room(product, build int, cap float64) bool {
+// fits holds the cap over every window that begins in the last one, whatever comes later.
+func (d *desk) fits(product, build int, cap float64) bool {
 	balance, l := 1.0, *d.slot(product)
 	for i := len(l) - 1; i >= 0 && balance <= d.count.Free; i-- {
 		switch l[i].build {
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -115,6 +115,17 @@
 	return &d.ledger[0]
 }
 
+// room is fits, asked once for each state of the ledger: in a jam every txn held asks again at every beat, and with
+// a thousand txns a second the count has thousands of entries.
+func (d *desk) room(product, build int, cap float64) bool {
+	a, l := &d.asked, d.slot(product)
+	if now := (answered{l, build, cap, d.entries, false}); *a != now && *a != (answered{l, build, cap, d.entries, true}) {
+		now.fits = d.fits(product, build, cap)
+		*a = now
+	}
+	return a.fits
+}
+
 // take keeps the records by the list and hands on what concerns a single one.
 func (f *fleet) take(n note) {
 	switch n := n.(type) {
@@ -314,6 +325,7 @@
 		*l = (*l)[1:]
 	}
 	*l = append(*l, entry{d.now, build})
+	d.entries++
 }
 
 // expect counts those turned away who have not come back in the time that they had.
--- a/brain/record.go
+++ b/brain/record.go
@@ -131,6 +131,15 @@
 	build int
 }
 
+// answered is a question to the ledger and what it said.
+type answered struct {
+	of      *[]entry
+	build   int
+	cap     float64
+	entries int
+	fits    bool
+}
+
 // desk routes txns and answers them.
 type desk struct {
 	inbox
@@ -146,6 +155,8 @@
 	fare     float64 // of a submission to another zone
 	zones    []*zone // by their index
 	ledger   [][]entry
+	entries  int      // ever made in it
+	asked    answered // the last question to it
 	txns     map[uint64]*txn
 	held     []*txn
 	bound    map[uint64]int     // one-way: the build that answered a key
--- a/cmd/switchfork/main.go
+++ b/cmd/switchfork/main.go
@@ -65,18 +65,16 @@
 		names, effects, expiry = append(names, g.Name), append(effects, g.Effect), append(expiry, g.Expiry)
 		longest = max(longest, g.Expiry)
 	}
-	// A client connection has one txn, and a txn one submission: half each, as a client may leave while its
-	// submission runs on.
-	each := (ration.Sockets - ownSockets) / 2
+	purse := sockets.NewPurse(ration.Sockets - ownSockets)
 	core := sockets.NewCore(module, sockets.NewClock())
-	pool := sockets.NewPool(lines.Dial, lines.Idle, lines.Report, each)
+	pool := sockets.NewPool(lines.Dial, lines.Idle, lines.Report, purse)
 	roster := sockets.NewRoster(core, post.Discovery, zones, lines.Dial)
 	launcher := sockets.NewLauncher(core, post.Launcher, lines.Dial, lines.Call)
 	peers, err := sockets.NewPeers(core, circle.Listen, circle.Peers, circle.All)
 	if err != nil {
 		return err
 	}
-	front := sockets.NewFront(core, names, effects, expiry, customers, each)
+	front := sockets.NewFront(core, names, effects, expiry, customers, purse)
 
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -96,7 +94,7 @@
 	if err = front.Listen(post.Listen); err != nil {
 		return fmt.Errorf("setting config.listen: %w", err)
 	}
-	slog.Info("serves", "agent", post.Name, "listen", post.Listen, "clients", each, "connections", each)
+	slog.Info("serves", "agent", post.Name, "listen", post.Listen)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve() }()
 	select {
--- a/sockets/appliance.go
+++ b/sockets/appliance.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"slices"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,31 +16,16 @@
 // connections, writes each submission that was ordered exactly once, and tells how it ended. It must never send
 // anything again that may have run, and never choose an appliance.
 
-// Pool is what the appliances' actors share: told figures, and the budget of descriptors.
+// Pool is what the appliances' actors share.
 type Pool struct {
 	dial   net.Dialer
 	idle   time.Duration
 	fields []string // of a load report
-	most   int64    // connections, to all appliances together
-	open   atomic.Int64
-	peak   atomic.Int64
+	purse  *Purse
 }
 
-func NewPool(dial, idle time.Duration, fields []string, most int) *Pool {
-	return &Pool{dial: net.Dialer{Timeout: dial, KeepAlive: -1}, idle: idle, fields: fields, most: int64(most)}
-}
-
-// take books a connection; false when all that are allowed are open.
-func (p *Pool) take() bool {
-	n := p.open.Add(1)
-	if n > p.most {
-		p.open.Add(-1)
-		return false
-	}
-	if n > p.peak.Load() {
-		p.peak.Store(n)
-	}
-	return true
+func NewPool(dial, idle time.Duration, fields []string, purse *Purse) *Pool {
+	return &Pool{dial: net.Dialer{Timeout: dial, KeepAlive: -1}, idle: idle, fields: fields, purse: purse}
 }
 
 func (p *Pool) hire(id uint32, e entry, core *Core) *appliance {
@@ -160,7 +144,7 @@
 	case heard:
 		a.heard(n)
 	case trim:
-		a.dropIdle(0)
+		a.dropIdle(trimIdle)
 	case sweep:
 		a.sweeping = false
 		a.dropIdle(a.pool.idle / 2)
@@ -204,7 +188,7 @@
 		a.write(c, j)
 		return
 	}
-	if !a.pool.take() {
+	if !a.pool.purse.appliance() {
 		complaints.warn("budget", "no descriptor left for a connection", "appliance", a.name)
 		a.core.box.put(shortage{})
 		a.finish(j, NotSent, nil)
@@ -214,7 +198,7 @@
 	go func() {
 		nc, err := a.pool.dial.Dial("tcp", addr)
 		if err != nil {
-			a.pool.open.Add(-1)
+			a.pool.purse.give(0, 1)
 			a.box.put(dialed{job: j, err: err})
 			return
 		}
@@ -375,7 +359,7 @@
 	}
 	c.closed = true
 	c.Close()
-	a.pool.open.Add(-1)
+	a.pool.purse.give(0, 1)
 	if i := slices.Index(a.idle, c); i >= 0 {
 		a.idle = slices.Delete(a.idle, i, i+1)
 	}
@@ -391,6 +375,9 @@
 	}
 }
 
+// trimIdle: when descriptors are short, those idle for so long are more than the present traffic needs.
+const trimIdle = 500 * time.Millisecond
+
 func (a *appliance) keepSweeping() {
 	if len(a.idle) > 0 && !a.sweeping && a.pool.idle > 0 {
 		a.sweeping = true
--- a/sockets/core.go
+++ b/sockets/core.go
@@ -302,6 +302,71 @@
 	}
 }
 
+// Purse holds the descriptors for connections, to clients and appliances together, so that neither can use up what
+// the other must have. Connections to appliances get what clients leave; clients leave them a quarter.
+type Purse struct {
+	mu                       sync.Mutex
+	given                    *sync.Cond
+	most, clients, addresses int
+}
+
+func NewPurse(most int) *Purse {
+	p := &Purse{most: most}
+	p.given = sync.NewCond(&p.mu)
+	return p
+}
+
+const (
+	// clientPart is the most that clients get: a busy client has one submission at most and often none, as the
+	// module holds what it can't place. spareAt: with less left than this part, answers end their connections.
+	clientPart, spareAt = 0.75, 0.125
+)
+
+func (p *Purse) full() bool {
+	return p.clients+p.addresses >= p.most || float64(p.clients) >= clientPart*float64(p.most)
+}
+
+// appliance books a connection to an appliance, if there is one left.
+func (p *Purse) appliance() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients+p.addresses >= p.most {
+		return false
+	}
+	p.addresses++
+	return true
+}
+
+// client books a client's connection; where it has to wait, meanwhile is told first.
+func (p *Purse) client(meanwhile func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.full() {
+		p.mu.Unlock()
+		meanwhile()
+		p.mu.Lock()
+	}
+	for p.full() {
+		p.given.Wait()
+	}
+	p.clients++
+}
+
+func (p *Purse) give(clients, addresses int) {
+	p.mu.Lock()
+	p.clients, p.addresses = p.clients-clients, p.addresses-addresses
+	p.mu.Unlock()
+	p.given.Signal()
+}
+
+// short tells that few are left.
+func (p *Purse) short() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	spare := spareAt * float64(p.most)
+	return float64(p.most-p.clients-p.addresses) < spare || clientPart*float64(p.most)-float64(p.clients) < spare
+}
+
 // sieve lets one line a second through for each thing that is wrong, so that bad input can't flood the log.
 type sieve struct {
 	mu   sync.Mutex
--- a/sockets/front.go
+++ b/sockets/front.go
@@ -35,14 +35,19 @@
 // headWait: how long a client may take over a request's head, far over what any takes on a network that works.
 const headWait = 10 * time.Second
 
-// NewFront reads requests by the products' names, effects and expiries and the customers' names; most is the
-// number of client connections.
-func NewFront(core *Core, names []string, effects []brain.Effect, expiry []time.Duration, customers []string, most int) *Front {
+// NewFront reads requests by the products' names, effects and expiries and the customers' names.
+func NewFront(core *Core, names []string, effects []brain.Effect, expiry []time.Duration, customers []string, purse *Purse) *Front {
 	f := &Front{core: core, count: &counter{names, effects, expiry, customers}}
 	quiet := slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
 	proxy := &httputil.ReverseProxy{Transport: f, ErrorLog: quiet, ErrorHandler: f.failed,
-		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host }}
-	f.door = newDoor(most)
+		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host },
+		ModifyResponse: func(r *http.Response) error {
+			if purse.short() {
+				r.Header.Set("Connection", "close")
+			}
+			return nil
+		}}
+	f.door = newDoor(core, purse)
 	f.server = &http.Server{ErrorLog: quiet, ReadHeaderTimeout: headWait, ConnState: f.door.state,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/_health" {
@@ -172,34 +177,30 @@
 	return f.server.Shutdown(ctx)
 }
 
-// door holds the number of client connections, so that none lacks descriptors that submissions need. Over it, the
-// client that has been idle longest is closed; while all are busy the next one waits in the kernel's queue.
+// door lets clients in while there are descriptors. With few left, answers end their connections; with none, those
+// that stand idle are retired, and the next client waits in the kernel's queue until one is free.
 type door struct {
 	net.Listener
-	free chan struct{}
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
-	in   map[net.Conn]bool
+	purse   *Purse
+	core    *Core
+	mu      sync.Mutex
+	idle    map[net.Conn]time.Time
+	in      map[net.Conn]bool
+	waiting bool
 }
 
-func newDoor(most int) *door {
-	d := &door{free: make(chan struct{}, most), idle: map[net.Conn]time.Time{}, in: map[net.Conn]bool{}}
-	for range most {
-		d.free <- struct{}{}
-	}
-	return d
+func newDoor(core *Core, purse *Purse) *door {
+	return &door{core: core, purse: purse, idle: map[net.Conn]time.Time{}, in: map[net.Conn]bool{}}
 }
 
 func (d *door) Accept() (net.Conn, error) {
-	select {
-	case <-d.free:
-	default:
-		d.closeIdle()
-		<-d.free
-	}
+	d.purse.client(d.makeRoom)
+	d.mu.Lock()
+	d.waiting = false
+	d.mu.Unlock()
 	c, err := d.Listener.Accept()
 	if err != nil {
-		d.free <- struct{}{}
+		d.purse.give(1, 0)
 		return nil, err
 	}
 	d.mu.Lock()
@@ -208,7 +209,9 @@
 	return c, nil
 }
 
-func (d *door) closeIdle() {
+// makeRoom retires the client that has been idle longest, and lets appliances drop what they don't use.
+func (d *door) makeRoom() {
+	d.core.box.put(shortage{})
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var oldest net.Conn
@@ -217,11 +220,17 @@
 			oldest = c
 		}
 	}
-	if oldest != nil {
-		delete(d.idle, oldest)
-		go oldest.Close()
+	if d.waiting = oldest == nil; oldest != nil {
+		d.retire(oldest)
 	}
-	complaints.warn("door", "all client connections are in use", "open", len(d.in), "idle", len(d.idle))
+	complaints.warn("door", "no descriptor left for a client", "open", len(d.in), "idle", len(d.idle))
+}
+
+// retire ends a client's connection unless a request has come: the server's wait for one fails, while closing
+// would throw away what has been read.
+func (d *door) retire(c net.Conn) {
+	delete(d.idle, c)
+	c.SetReadDeadline(time.Unix(1, 0))
 }
 
 // state is told by the server; a closed connection's place is free again.
@@ -231,11 +240,14 @@
 	delete(d.idle, c)
 	switch s {
 	case http.StateIdle:
-		d.idle[c] = time.Now()
+		if d.idle[c] = time.Now(); d.waiting {
+			d.waiting = false
+			d.retire(c)
+		}
 	case http.StateClosed, http.StateHijacked:
 		if d.in[c] {
 			delete(d.in, c)
-			d.free <- struct{}{}
+			d.purse.give(1, 0)
 		}
 	}
 }
