--- a/sockets/core.go
+++ b/sockets/core.go
@@ -95,6 +95,7 @@
 type Core struct {
 	module     brain.Router
 	clock      Clock
+	moment     brain.Micros // the clock stands while this is set
 	box        *mailbox[any]
 	urgent     *mailbox[any] // news and list changes are not kept waiting
 	wakes      []brain.Wake  // by time
@@ -116,6 +117,11 @@
 func (c *Core) Serve(ctx context.Context, pool *Pool, launcher *Launcher, peers *Peers) {
 	c.hire = func(id uint32, e entry) *appliance { return pool.hire(id, e, c) }
 	c.vote, c.tell = launcher.put, peers.put
+	// What the agent was started with is one moment to the module: news a few microseconds younger than its first
+	// event would read as a release made after the start, and the calm before the next would go unseen.
+	c.moment = c.clock.now()
+	c.first()
+	c.moment = 0
 	timer := time.NewTimer(time.Hour)
 	var notes []any
 	for {
@@ -229,7 +235,11 @@
 			panic(p)
 		}
 	}()
-	for _, o := range c.module.Handle(c.clock.now(), ev) {
+	now := c.moment
+	if now == 0 {
+		now = c.clock.now()
+	}
+	for _, o := range c.module.Handle(now, ev) {
 		c.carryOut(o)
 	}
 }
