A cap on open txns, and a door that retires idle clients, in place of closing after answers

Cause: ModifyResponse in front.go ended connections when few descriptors were left; all clients came back on new ones, the door filled, and those behind it waited unread. Also the door's retire() in the server's idle hook was undone by the server's own deadline right after. Ruled out: the module (13% of the profile) and memory. Now the front has at most seven eighths of the clients' connections open as txns and refuses beyond, as over the told cap, and the waiting door looks for idle clients every 5 ms. ReverseProxy's copy buffers are pooled (a tenth of the profile). Also: an ending that says that process or path is gone takes the idle connections along; whole exchanges have a limit.

--- a/charter/charter.go
+++ b/charter/charter.go
@@ -45,6 +45,7 @@
 // Lines are the figures of connections to appliances and the launcher.
 type Lines struct {
 	Dial, Idle, Call time.Duration
+	OpenCap          int // txns that the agent may have open
 	Probes           bool
 	Report           []string // the fields of a load report, none where there are none
 }
@@ -170,7 +171,10 @@
 func (t *Terms) Lines() Lines {
 	span := func(key string) time.Duration { return time.Duration(t.ms(key)) * time.Microsecond }
 	l := Lines{Dial: span("Limits.DialTimeoutMs"), Idle: span("Limits.ConnIdleMs"),
-		Call: span("FamilyInfo.CallTimeoutMs"), Probes: t.flag("Limits.Probes")}
+		Call: span("FamilyInfo.CallTimeoutMs"), OpenCap: 20000, Probes: t.flag("Limits.Probes")}
+	if t.has("Limits.OpenCap") {
+		l.OpenCap = t.count("Limits.OpenCap")
+	}
 	if how := t.pairs["Feedback.How"]; how != "" && how != "off" {
 		l.Report = t.words("Feedback.Fields")
 	}
--- a/cmd/switchfork/main.go
+++ b/cmd/switchfork/main.go
@@ -33,7 +33,7 @@
 	// collectAt: live data is a few MB, so garbage may grow to several times it before it is worth the time.
 	collectAt = 400
 	// ownSockets: listener, peers, list, news and votes, the log and what the runtime holds, with room.
-	ownSockets = 48
+	ownSockets = 32
 	// backlog is the longest that answers may take after their expiry before a drain gives up.
 	backlog = 500 * time.Millisecond
 )
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	front := sockets.NewFront(core, names, effects, expiry, customers, purse)
+	front := sockets.NewFront(core, names, effects, expiry, customers, lines.OpenCap, purse)
 
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -118,18 +118,23 @@
 		}
 	})
 	if change == nil {
-		eventually(t, "health", func() bool {
-			r, err := http.Get(a.url + "/_health")
-			if err != nil {
-				return false
-			}
-			r.Body.Close()
-			return r.StatusCode == 200
-		})
+		a.healthy(t)
 	}
 	return a
 }
 
+func (a *agent) healthy(t *testing.T) {
+	t.Helper()
+	eventually(t, "health", func() bool {
+		r, err := http.Get(a.url + "/_health")
+		if err != nil {
+			return false
+		}
+		r.Body.Close()
+		return r.StatusCode == 200
+	})
+}
+
 // said is an answer as a client got it.
 type answered struct {
 	status int
@@ -351,6 +356,37 @@
 	}
 }
 
+// With hardly any descriptors and far more clients, every txn has its answer, and then all is well again.
+func TestMoreClientsThanDescriptors(t *testing.T) {
+	let := make(chan struct{})
+	b := newBox(t, func(c net.Conn, nth int) bool { <-let; return answers(ok("done"))(c, nth) })
+	few := launch(t, func(conf string) string { return strings.Replace(conf, `"sockets":1024`, `"sockets":64`, 1) },
+		host("s-1", b.addr(), "active", 41))
+	few.healthy(t)
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	got := map[int]int{}
+	for range 100 {
+		wait.Go(func() {
+			said, err := few.try(context.Background(), "GET", "/lookup", "", "X-Deadline-Ms", "1900")
+			mu.Lock()
+			defer mu.Unlock()
+			if got[said.status]++; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	eventually(t, "a refusal for want of room", func() bool { return strings.Contains(few.log.String(), "no room for another txn") })
+	close(let)
+	wait.Wait()
+	if got[200] == 0 || got[200] != len(b.got()) || got[503] == 0 || got[200]+got[503] != 100 {
+		t.Errorf("answers by status: %v, with %d copies", got, len(b.got()))
+	}
+	if again := few.ask(t, "GET", "/lookup", ""); again.status != 200 {
+		t.Errorf("then got %+v", again)
+	}
+}
+
 // What is wrong with the configuration stops the start with one line that names it.
 func TestFaultyCharter(t *testing.T) {
 	for _, c := range []struct{ from, to, want string }{
--- a/sockets/appliance.go
+++ b/sockets/appliance.go
@@ -320,6 +320,12 @@
 			a.drop(c)
 		}
 	}
+	switch {
+	case how == CutAfter, how == CutBefore, how == NeverUp, how == Refused, how == Silent && j.probe:
+		// The process or the way to it is gone or was: idle connections may be dead without a sign, and each
+		// would cost a submission that may have run. It costs a handshake where only the one had ended.
+		a.dropIdle(0)
+	}
 	took := brain.Micros(time.Since(j.at).Microseconds())
 	if how != Settled {
 		complaints.warn(a.name+how.String(), "appliance", "appliance", a.name, "ending", how.String(),
--- a/sockets/core.go
+++ b/sockets/core.go
@@ -313,28 +313,21 @@
 }
 
 // Purse holds the descriptors for connections, to clients and appliances together, so that neither can use up what
-// the other must have. Connections to appliances get what clients leave; clients leave them a quarter.
+// the other must have. Connections to appliances get what clients leave; clients leave them an eighth.
 type Purse struct {
 	mu                       sync.Mutex
-	given                    *sync.Cond
 	most, clients, addresses int
+	given                    chan struct{} // holds a token after one was given back
 }
 
-func NewPurse(most int) *Purse {
-	p := &Purse{most: most}
-	p.given = sync.NewCond(&p.mu)
-	return p
-}
+func NewPurse(most int) *Purse { return &Purse{most: most, given: make(chan struct{}, 1)} }
 
-const (
-	// clientPart is the most that clients get: a busy client has one submission at most and often none, as the
-	// module holds what it can't place. spareAt: with less left than this part, answers end their connections.
-	clientPart, spareAt = 0.75, 0.125
-)
+// clientPart is the most that clients get. A busy client has one submission at most, and in a jam, when there are
+// most clients, few have one: the module holds the others. Seen at the most: a fifth as many.
+const clientPart = 0.875
 
-func (p *Purse) full() bool {
-	return p.clients+p.addresses >= p.most || float64(p.clients) >= clientPart*float64(p.most)
-}
+// Clients is the most that clients can have.
+func (p *Purse) Clients() int { return int(clientPart * float64(p.most)) }
 
 // appliance books a connection to an appliance, if there is one left.
 func (p *Purse) appliance() bool {
@@ -347,34 +340,25 @@
 	return true
 }
 
-// client books a client's connection; where it has to wait, meanwhile is told first.
-func (p *Purse) client(meanwhile func()) {
+// client books a client's connection, if there is one left for clients.
+func (p *Purse) client() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.full() {
-		p.mu.Unlock()
-		meanwhile()
-		p.mu.Lock()
-	}
-	for p.full() {
-		p.given.Wait()
+	if p.clients+p.addresses >= p.most || p.clients >= p.Clients() {
+		return false
 	}
 	p.clients++
+	return true
 }
 
 func (p *Purse) give(clients, addresses int) {
 	p.mu.Lock()
 	p.clients, p.addresses = p.clients-clients, p.addresses-addresses
 	p.mu.Unlock()
-	p.given.Signal()
-}
-
-// short tells that few are left.
-func (p *Purse) short() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	spare := spareAt * float64(p.most)
-	return float64(p.most-p.clients-p.addresses) < spare || clientPart*float64(p.most)-float64(p.clients) < spare
+	select {
+	case p.given <- struct{}{}:
+	default:
+	}
 }
 
 // sieve lets one line a second through for each thing that is wrong, so that bad input can't flood the log.
--- a/sockets/front.go
+++ b/sockets/front.go
@@ -27,28 +27,28 @@
 	core   *Core
 	count  *counter
 	lastID atomic.Uint64
+	open   atomic.Int64
+	most   int64 // open txns
 	server *http.Server
 	door   *door
 	drains atomic.Bool
 }
 
-// headWait: how long a client may take over a request's head, far over what any takes on a network that works.
-const headWait = 10 * time.Second
+// headWait is how long a client may take over a request's head, and exchangeWait over a whole exchange, far over
+// what any takes on a network that works; idleWait is over the time for which clients keep connections.
+const headWait, exchangeWait, idleWait = 10 * time.Second, time.Minute, 10 * time.Minute
 
-// NewFront reads requests by the products' names, effects and expiries and the customers' names.
-func NewFront(core *Core, names []string, effects []brain.Effect, expiry []time.Duration, customers []string, purse *Purse) *Front {
-	f := &Front{core: core, count: &counter{names, effects, expiry, customers}}
+// NewFront reads requests by the products' names, effects and expiries and the customers' names; most is
+// the number of txns that it may have open.
+func NewFront(core *Core, names []string, effects []brain.Effect, expiry []time.Duration, customers []string,
+	most int, purse *Purse) *Front {
+	f := &Front{core: core, most: openCap(most, purse), count: &counter{names, effects, expiry, customers}}
 	quiet := slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
 	proxy := &httputil.ReverseProxy{Transport: f, ErrorLog: quiet, ErrorHandler: f.failed,
-		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host },
-		ModifyResponse: func(r *http.Response) error {
-			if purse.short() {
-				r.Header.Set("Connection", "close")
-			}
-			return nil
-		}}
+		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host }, BufferPool: &buffers{}}
 	f.door = newDoor(core, purse)
-	f.server = &http.Server{ErrorLog: quiet, ReadHeaderTimeout: headWait, ConnState: f.door.state,
+	f.server = &http.Server{ErrorLog: quiet, ReadHeaderTimeout: headWait, ReadTimeout: exchangeWait,
+		WriteTimeout: exchangeWait, IdleTimeout: idleWait, ConnState: f.door.state,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/_health" {
 				f.health(w)
@@ -60,6 +60,27 @@
 	return f
 }
 
+// openCap is the told cap, or what descriptors allow: an eighth of the clients' connections turn over, so that whoever
+// waits at the door is let in and hears at once that there is no room. Without it they all fill with txns that the
+// module holds, and those at the door wait unread until their time is over.
+func openCap(told int, purse *Purse) int64 {
+	return int64(min(told, purse.Clients()*7/8))
+}
+
+// buffers lends ReverseProxy its copy buffers: an own one for each answer was a tenth of the agent's time.
+type buffers struct{ sync.Pool }
+
+const bufferSize = 4 << 10 // most bodies fit
+
+func (b *buffers) Get() []byte {
+	if buf, is := b.Pool.Get().(*[bufferSize]byte); is {
+		return buf[:]
+	}
+	return make([]byte, bufferSize)
+}
+
+func (b *buffers) Put(buf []byte) { b.Pool.Put((*[bufferSize]byte)(buf)) }
+
 type targetKey struct{}
 
 func (f *Front) health(w http.ResponseWriter) {
@@ -88,6 +109,11 @@
 	case err != nil:
 		return nil, err // the client has gone
 	}
+	defer f.open.Add(-1)
+	if f.open.Add(1) > f.most {
+		complaints.warn("open", "no room for another txn", "most", f.most)
+		return reply{refused: true}.response(r), nil // as over the told cap: sent back before the module has it
+	}
 	for _, h := range ownHeaders {
 		r.Header.Del(h)
 	}
@@ -177,27 +203,33 @@
 	return f.server.Shutdown(ctx)
 }
 
-// door lets clients in while there are descriptors. With few left, answers end their connections; with none, those
-// that stand idle are retired, and the next client waits in the kernel's queue until one is free.
+// door lets clients in while there are descriptors. With none, the client that has been idle longest is retired, and
+// the next one waits in the kernel's queue until one is free. That answers end their connections then was tried: all
+// clients came back on new ones, which cost more than there was.
 type door struct {
 	net.Listener
-	purse   *Purse
-	core    *Core
-	mu      sync.Mutex
-	idle    map[net.Conn]time.Time
-	in      map[net.Conn]bool
-	waiting bool
+	purse *Purse
+	core  *Core
+	mu    sync.Mutex
+	idle  map[net.Conn]time.Time
+	in    map[net.Conn]bool
 }
 
 func newDoor(core *Core, purse *Purse) *door {
 	return &door{core: core, purse: purse, idle: map[net.Conn]time.Time{}, in: map[net.Conn]bool{}}
 }
 
+// doorWait is how often a waiting door looks for clients that have fallen idle: a small part of any SLA time.
+const doorWait = 5 * time.Millisecond
+
 func (d *door) Accept() (net.Conn, error) {
-	d.purse.client(d.makeRoom)
-	d.mu.Lock()
-	d.waiting = false
-	d.mu.Unlock()
+	for !d.purse.client() {
+		d.makeRoom()
+		select {
+		case <-d.purse.given:
+		case <-time.After(doorWait):
+		}
+	}
 	c, err := d.Listener.Accept()
 	if err != nil {
 		d.purse.give(1, 0)
@@ -209,7 +241,9 @@
 	return c, nil
 }
 
-// makeRoom retires the client that has been idle longest, and lets appliances drop what they don't use.
+// makeRoom retires the client that has been idle longest, and lets appliances drop what they don't use. The
+// server's wait for a request is made to fail: closing would throw away what has been read. One that fell idle
+// just now is left, as the server may not have begun to wait.
 func (d *door) makeRoom() {
 	d.core.box.put(shortage{})
 	d.mu.Lock()
@@ -220,19 +254,13 @@
 			oldest = c
 		}
 	}
-	if d.waiting = oldest == nil; oldest != nil {
-		d.retire(oldest)
+	if oldest != nil && time.Since(d.idle[oldest]) >= doorWait {
+		delete(d.idle, oldest)
+		oldest.SetReadDeadline(time.Unix(1, 0))
 	}
 	complaints.warn("door", "no descriptor left for a client", "open", len(d.in), "idle", len(d.idle))
 }
 
-// retire ends a client's connection unless a request has come: the server's wait for one fails, while closing
-// would throw away what has been read.
-func (d *door) retire(c net.Conn) {
-	delete(d.idle, c)
-	c.SetReadDeadline(time.Unix(1, 0))
-}
-
 // state is told by the server; a closed connection's place is free again.
 func (d *door) state(c net.Conn, s http.ConnState) {
 	d.mu.Lock()
@@ -240,10 +268,7 @@
 	delete(d.idle, c)
 	switch s {
 	case http.StateIdle:
-		if d.idle[c] = time.Now(); d.waiting {
-			d.waiting = false
-			d.retire(c)
-		}
+		d.idle[c] = time.Now()
 	case http.StateClosed, http.StateHijacked:
 		if d.in[c] {
 			delete(d.in, c)
