After a standstill the list and the news are read before txns; spans of 0 are refused

What discovery wrote while an agent stood still counts as told, and the grace for drains may be over when it goes on. A bell over 250 ms late says so, and the readers get 20 ms. TestListFirstAfterStall is red without it.

--- a/charter/charter.go
+++ b/charter/charter.go
@@ -169,7 +169,13 @@
 }
 
 func (t *Terms) Lines() Lines {
-	span := func(key string) time.Duration { return time.Duration(t.ms(key)) * time.Microsecond }
+	span := func(key string) time.Duration {
+		us := t.ms(key)
+		if us == 0 {
+			t.fail(key, "is 0, no time at all")
+		}
+		return time.Duration(us) * time.Microsecond
+	}
 	l := Lines{Dial: span("Limits.DialTimeoutMs"), Idle: span("Limits.ConnIdleMs"),
 		Call: span("FamilyInfo.CallTimeoutMs"), OpenCap: 20000, Probes: t.flag("Limits.Probes")}
 	if t.has("Limits.OpenCap") {
--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -393,6 +393,7 @@
 		{`"SloMs":600.0`, `"SloMs":"soon"`, "config.settings.Grades.0.SloMs is \\\"soon\\\", not a number"},
 		{`"Swap":"beside"`, `"Swap":"above"`, "config.settings.FamilyInfo.Swap"},
 		{`"Localities":["suva"],`, ``, "config.settings.Localities"},
+		{`"DialTimeoutMs":250.0`, `"DialTimeoutMs":0`, "config.settings.Limits.DialTimeoutMs"},
 		{`"seed":"8c`, `"seed":"xx`, "config.seed"},
 		{`"sockets":1024`, `"sockets":9`, "config.limits.sockets"},
 		{`"discovery":"127`, `"discovery":"127.0.0.1","was":"127`, "config.discovery"},
--- a/sockets/core.go
+++ b/sockets/core.go
@@ -99,6 +99,7 @@
 	box        *mailbox[any]
 	urgent     *mailbox[any] // news and list changes are not kept waiting
 	wakes      []brain.Wake  // by time
+	late       brain.Micros  // the bell that was last found to be late
 	txns       map[uint64]*open
 	appliances map[uint32]*appliance
 	all        []*appliance // in the order of their coming
@@ -136,11 +137,11 @@
 		case <-c.urgent.bell:
 		}
 		notes = c.box.take(notes)
-		c.first()
 		for _, n := range notes {
-			c.note(n)
 			c.first()
+			c.note(n)
 		}
+		c.first()
 		for now := c.clock.now(); len(c.wakes) > 0 && c.wakes[0].At <= now; {
 			token := c.wakes[0].Token
 			c.wakes = slices.Delete(c.wakes, 0, 1)
@@ -149,7 +150,17 @@
 	}
 }
 
+// A bell that is so late says that the process stood still. What the list and the launcher wrote meanwhile counts as
+// told, but may not have been read yet, while txns wait already: the readers get a moment first. It guards against
+// all that stops an agent (a frozen machine, a starved core); it costs a little where the core is merely full.
+const stalled, catchUp = 250 * time.Millisecond, 20 * time.Millisecond
+
+// first hands the list and the news on before anything else.
 func (c *Core) first() {
+	if len(c.wakes) > 0 && c.wakes[0].At != c.late && c.clock.now()-c.wakes[0].At > stalled.Microseconds() {
+		c.late = c.wakes[0].At
+		time.Sleep(catchUp)
+	}
 	for _, n := range c.urgent.take(nil) {
 		c.note(n)
 	}
--- a/sockets/core_test.go
+++ b/sockets/core_test.go
@@ -261,6 +261,28 @@
 	}
 }
 
+// After a standstill, what the list has to tell goes before the txns that came meanwhile.
+func TestListFirstAfterStall(t *testing.T) {
+	r := newRig(t, time.Second, "127.0.0.1:1", "127.0.0.1:1")
+	r.mu.Lock()
+	r.do = func(ev brain.Event) []brain.Order {
+		if _, is := ev.(brain.Heard); !is {
+			return nil
+		}
+		r.core.box.put(brain.Probed{})
+		time.AfterFunc(time.Millisecond, func() { r.roster.tell(roll{Seq: 1, Whole: true}) })
+		return []brain.Order{brain.Wake{At: r.core.clock.now() - 1e6}} // as if that time had passed
+	}
+	r.mu.Unlock()
+	r.core.box.put(brain.Heard{})
+	eventually(t, "three events", func() bool { r.mu.Lock(); defer r.mu.Unlock(); return len(r.events) >= 3 })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, is := r.events[1].(brain.Listed); !is {
+		t.Errorf("events came as %+v", r.events)
+	}
+}
+
 // A watch that ends goes on from the last version; numbers may be skipped, nothing old is told again, and after a
 // line that can't be read the whole list is fetched.
 func TestWatch(t *testing.T) {
--- a/sockets/front.go
+++ b/sockets/front.go
@@ -48,7 +48,7 @@
 		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host }, BufferPool: &buffers{}}
 	f.door = newDoor(core, purse)
 	f.server = &http.Server{ErrorLog: quiet, ReadHeaderTimeout: headWait, ReadTimeout: exchangeWait,
-		WriteTimeout: exchangeWait, IdleTimeout: idleWait, ConnState: f.door.state,
+		WriteTimeout: exchangeWait, IdleTimeout: idleWait, MaxHeaderBytes: bodyLimit, ConnState: f.door.state,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/_health" {
 				f.health(w)
