--- a/sockets/codec.go
+++ b/sockets/codec.go
@@ -197,16 +197,21 @@
 	}
 }
 
-// report reads a load report's fields in the told order; nil where one is missing.
+// report reads a load report's fields in the told order; nil where it can't be read or one is missing.
 func report(raw []byte, fields []string) []float32 {
 	var said map[string]float64
-	if len(fields) == 0 || len(raw) == 0 || json.Unmarshal(raw, &said) != nil {
+	if len(fields) == 0 || len(raw) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(raw, &said); err != nil {
+		complaints.warn("report", "load report that can't be read", "err", err)
 		return nil
 	}
 	out := make([]float32, len(fields))
 	for i, f := range fields {
 		v, ok := said[f]
 		if !ok {
+			complaints.warn("report "+f, "load report without a field", "field", f, "report", fmt.Sprintf("%.80q", raw))
 			return nil
 		}
 		out[i] = float32(v)
--- a/sockets/core_test.go
+++ b/sockets/core_test.go
@@ -283,6 +283,18 @@
 	}
 }
 
+// A panic of the module is not hidden: the process ends with it.
+func TestModulePanics(t *testing.T) {
+	c := NewCore(&script{do: func(brain.Event) []brain.Order { panic("index out of range") }}, NewClock())
+	defer func() {
+		if p := recover(); p != "index out of range" {
+			t.Errorf("recovered %v", p)
+		}
+	}()
+	c.handle(brain.Bell{})
+	t.Error("went on")
+}
+
 // A watch that ends goes on from the last version; numbers may be skipped, nothing old is told again, and after a
 // line that can't be read the whole list is fetched.
 func TestWatch(t *testing.T) {
