--- a/sockets/core_test.go
+++ b/sockets/core_test.go
@@ -88,6 +88,7 @@
 	r.core.box.put(arrived{brain.Taken{ID: id}, o})
 	select {
 	case got := <-o.reply:
+		r.core.Settle(r.ctx) // the module hears of the ending after the client
 		return got
 	case <-time.After(patience):
 		t.Fatal("no final answer")
