Time in the queue counts, and the cap on open txns follows what appliances hold

Checked in the figures: the cap on open txns (759) lay over what clients could get beside 250 connections to appliances (742), so the door was full before the cap spoke; and a txn read late was given its whole time anew (front.go, at := time.Now()). Now the cap is seven eighths of the purse less the appliances' connections, and a txn's time runs from the kernel's count of when its last byte came (TCP_INFO by golang.org/x/sys). TestTimeInTheQueueCounts and TestPurse are red without.

--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -387,6 +387,34 @@
 	}
 }
 
+// A request that stood unread while the agent was stopped has that much less time left.
+func TestTimeInTheQueueCounts(t *testing.T) {
+	b := newBox(t, mute)
+	a := launch(t, nil, host("s-1", b.addr(), "active", 41))
+	if err := a.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", strings.TrimPrefix(a.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "GET /lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: 2\r\nX-Deadline-Ms: 2000\r\n\r\n")
+	sent := time.Now()
+	for time.Since(sent) < time.Second { // the standstill itself
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err := a.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the copy", func() bool { return len(b.got()) == 1 })
+	wait := 0
+	fmt.Sscan(b.got()[0].header.Get("X-Deadline-Ms"), &wait)
+	if wait < 1 || wait > 1050 {
+		t.Errorf("the appliance was told to have %d ms", wait)
+	}
+}
+
 // What is wrong with the configuration stops the start with one line that names it.
 func TestFaultyCharter(t *testing.T) {
 	for _, c := range []struct{ from, to, want string }{
--- a/sockets/core.go
+++ b/sockets/core.go
@@ -337,8 +337,17 @@
 // most clients, few have one: the module holds the others. Seen at the most: a fifth as many.
 const clientPart = 0.875
 
-// Clients is the most that clients can have.
-func (p *Purse) Clients() int { return int(clientPart * float64(p.most)) }
+// turnover is the part that is kept from open txns, so that whoever waits at the door is let in and hears at once
+// that there is no room. Without it all fill with txns that the module holds, and those at the door wait unread
+// until their time is over.
+const turnover = 0.125
+
+// Txns is the number that may be open beside the connections to appliances that there are now.
+func (p *Purse) Txns() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int((1-turnover)*float64(p.most)) - p.addresses
+}
 
 // appliance books a connection to an appliance, if there is one left.
 func (p *Purse) appliance() bool {
@@ -355,7 +364,7 @@
 func (p *Purse) client() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.clients+p.addresses >= p.most || p.clients >= p.Clients() {
+	if p.clients+p.addresses >= p.most || p.clients >= int(clientPart*float64(p.most)) {
 		return false
 	}
 	p.clients++
--- a/sockets/core_test.go
+++ b/sockets/core_test.go
@@ -434,7 +434,10 @@
 			t.Error("clients did not get seven")
 		}
 	}
-	if p.client() || !p.appliance() || p.appliance() {
+	if p.Txns() != 7 {
+		t.Errorf("%d txns may be open", p.Txns())
+	}
+	if p.client() || !p.appliance() || p.appliance() || p.Txns() != 6 {
 		t.Error("appliances did not get just what clients leave")
 	}
 	p.give(0, 1)
--- a/sockets/front.go
+++ b/sockets/front.go
@@ -13,8 +13,11 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"switchfork/brain"
 )
 
@@ -28,7 +31,8 @@
 	count  *counter
 	lastID atomic.Uint64
 	open   atomic.Int64
-	most   int64 // open txns
+	most   int // open txns that are told
+	purse  *Purse
 	server *http.Server
 	door   *door
 	drains atomic.Bool
@@ -42,13 +46,14 @@
 // the number of txns that it may have open.
 func NewFront(core *Core, names []string, effects []brain.Effect, expiry []time.Duration, customers []string,
 	most int, purse *Purse) *Front {
-	f := &Front{core: core, most: openCap(most, purse), count: &counter{names, effects, expiry, customers}}
+	f := &Front{core: core, most: most, purse: purse, count: &counter{names, effects, expiry, customers}}
 	quiet := slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
 	proxy := &httputil.ReverseProxy{Transport: f, ErrorLog: quiet, ErrorHandler: f.failed,
 		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host }, BufferPool: &buffers{}}
 	f.door = newDoor(core, purse)
 	f.server = &http.Server{ErrorLog: quiet, ReadHeaderTimeout: headWait, ReadTimeout: exchangeWait,
 		WriteTimeout: exchangeWait, IdleTimeout: idleWait, MaxHeaderBytes: bodyLimit, ConnState: f.door.state,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/_health" {
 				f.health(w)
@@ -60,11 +65,26 @@
 	return f
 }
 
-// openCap is the told cap, or what descriptors allow: an eighth of the clients' connections turn over, so that whoever
-// waits at the door is let in and hears at once that there is no room. Without it they all fill with txns that the
-// module holds, and those at the door wait unread until their time is over.
-func openCap(told int, purse *Purse) int64 {
-	return int64(min(told, purse.Clients()*7/8))
+type connKey struct{}
+
+// waited is how long ago a request's last byte came in, by the kernel's count: one that stood in a queue while the
+// agent was short of time or descriptors has that much less left. Where the kernel can't tell, it is none.
+func waited(r *http.Request) (ago time.Duration) {
+	c, is := r.Context().Value(connKey{}).(syscall.Conn)
+	if !is {
+		return 0
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil && time.Duration(info.Last_data_recv)*time.Millisecond < exchangeWait {
+			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return ago
 }
 
 // buffers lends ReverseProxy its copy buffers: an own one for each answer was a tenth of the agent's time.
@@ -93,7 +113,6 @@
 
 // RoundTrip is a txn's way through the agent.
 func (f *Front) RoundTrip(r *http.Request) (*http.Response, error) {
-	at := time.Now()
 	target, _ := r.Context().Value(targetKey{}).(string)
 	if !strings.HasPrefix(target, "/") {
 		target = r.URL.RequestURI()
@@ -109,9 +128,10 @@
 	case err != nil:
 		return nil, err // the client has gone
 	}
+	at := time.Now().Add(-waited(r))
 	defer f.open.Add(-1)
-	if f.open.Add(1) > f.most {
-		complaints.warn("open", "no room for another txn", "most", f.most)
+	if n, most := f.open.Add(1), min(f.most, f.purse.Txns()); n > int64(most) {
+		complaints.warn("open", "no room for another txn", "most", most)
 		return reply{refused: true}.response(r), nil // as over the told cap: sent back before the module has it
 	}
 	for _, h := range ownHeaders {
