One answer ends its connection for each client that waits; a full front says when to come back

By the code: with all descriptors used, clients with an open connection are served again and again, while the door's retire needs one that has been idle 5 ms; so those in the kernel's queue starve. Each turn of the waiting door also sent a note to every appliance, and the front's refusals gave no time to come back. Ruled out: memory (100 MB) and CPU (0.45 of a core). Expected: a full agent stays fair to those who wait; to be measured.

--- a/charter/charter.go
+++ b/charter/charter.go
@@ -45,7 +45,8 @@
 // Lines are the figures of connections to appliances and the launcher.
 type Lines struct {
 	Dial, Idle, Call time.Duration
-	OpenCap          int // txns that the agent may have open
+	OpenCap          int           // txns that the agent may have open
+	HoldOff          time.Duration // the longest wait that clients follow; 0 where they are told none
 	Probes           bool
 	Report           []string // the fields of a load report, none where there are none
 }
@@ -178,6 +179,9 @@
 	}
 	l := Lines{Dial: span("Limits.DialTimeoutMs"), Idle: span("Limits.ConnIdleMs"),
 		Call: span("FamilyInfo.CallTimeoutMs"), OpenCap: 20000, Probes: t.flag("Limits.Probes")}
+	if t.flag("Limits.RetryAfter") {
+		l.HoldOff = time.Duration(t.ms("Limits.MaxRetryAfterMs")) * time.Microsecond
+	}
 	if t.has("Limits.OpenCap") {
 		l.OpenCap = t.count("Limits.OpenCap")
 	}
--- a/cmd/switchfork/main.go
+++ b/cmd/switchfork/main.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	front := sockets.NewFront(core, names, effects, expiry, customers, lines.OpenCap, purse)
+	front := sockets.NewFront(core, names, effects, expiry, customers, lines.OpenCap, lines.HoldOff, purse)
 
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/sockets/front.go
+++ b/sockets/front.go
@@ -32,10 +32,12 @@
 	lastID atomic.Uint64
 	open   atomic.Int64
 	most   int // open txns that are told
-	purse  *Purse
-	server *http.Server
-	door   *door
-	drains atomic.Bool
+	// holdOff is the longest wait that clients follow, 0 where they are not told any
+	holdOff brain.Micros
+	purse   *Purse
+	server  *http.Server
+	door    *door
+	drains  atomic.Bool
 }
 
 // headWait is how long a client may take over a request's head, and exchangeWait over a whole exchange, far over
@@ -43,13 +45,19 @@
 const headWait, exchangeWait, idleWait = 10 * time.Second, time.Minute, 10 * time.Minute
 
 // NewFront reads requests by the products' names, effects and expiries and the customers' names; most is
-// the number of txns that it may have open.
+// the number of txns that it may have open, holdOff the longest wait that clients follow.
 func NewFront(core *Core, names []string, effects []brain.Effect, expiry []time.Duration, customers []string,
-	most int, purse *Purse) *Front {
-	f := &Front{core: core, most: most, purse: purse, count: &counter{names, effects, expiry, customers}}
+	most int, holdOff time.Duration, purse *Purse) *Front {
+	f := &Front{core: core, most: most, holdOff: holdOff.Microseconds(), purse: purse, count: &counter{names, effects, expiry, customers}}
 	quiet := slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
 	proxy := &httputil.ReverseProxy{Transport: f, ErrorLog: quiet, ErrorHandler: f.failed,
-		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host }, BufferPool: &buffers{}}
+		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host }, BufferPool: &buffers{},
+		ModifyResponse: func(r *http.Response) error {
+			if f.door.waits.CompareAndSwap(true, false) {
+				r.Header.Set("Connection", "close")
+			}
+			return nil
+		}}
 	f.door = newDoor(core, purse)
 	f.server = &http.Server{ErrorLog: quiet, ReadHeaderTimeout: headWait, ReadTimeout: exchangeWait,
 		WriteTimeout: exchangeWait, IdleTimeout: idleWait, MaxHeaderBytes: bodyLimit, ConnState: f.door.state,
@@ -132,7 +140,8 @@
 	defer f.open.Add(-1)
 	if n, most := f.open.Add(1), min(f.most, f.purse.Txns()); n > int64(most) {
 		complaints.warn("open", "no room for another txn", "most", most)
-		return reply{refused: true}.response(r), nil // as over the told cap: sent back before the module has it
+		// As over the told cap: sent back before the module has it. It is a jam, so no one should be back soon.
+		return reply{refused: true, holdOff: f.holdOff}.response(r), nil
 	}
 	for _, h := range ownHeaders {
 		r.Header.Del(h)
@@ -223,9 +232,10 @@
 	return f.server.Shutdown(ctx)
 }
 
-// door lets clients in while there are descriptors. With none, the client that has been idle longest is retired, and
-// the next one waits in the kernel's queue until one is free. That answers end their connections then was tried: all
-// clients came back on new ones, which cost more than there was.
+// door lets clients in while there are descriptors. With none, the client that has been idle longest is retired, or the
+// next answer ends its connection: one for each that waits, or those with an open connection would be served over and
+// over while one in the kernel's queue waits unread until its time is over. That every answer ends its connection when
+// few are left was tried: all clients came back on new ones, which cost more than there was.
 type door struct {
 	net.Listener
 	purse *Purse
@@ -233,6 +243,8 @@
 	mu    sync.Mutex
 	idle  map[net.Conn]time.Time
 	in    map[net.Conn]bool
+	asked time.Time   // when appliances were last asked to drop what they don't use
+	waits atomic.Bool // a client waits for another's place
 }
 
 func newDoor(core *Core, purse *Purse) *door {
@@ -244,12 +256,14 @@
 
 func (d *door) Accept() (net.Conn, error) {
 	for !d.purse.client() {
+		d.waits.Store(true)
 		d.makeRoom()
 		select {
 		case <-d.purse.given:
 		case <-time.After(doorWait):
 		}
 	}
+	d.waits.Store(false)
 	c, err := d.Listener.Accept()
 	if err != nil {
 		d.purse.give(1, 0)
@@ -265,9 +279,12 @@
 // server's wait for a request is made to fail: closing would throw away what has been read. One that fell idle
 // just now is left, as the server may not have begun to wait.
 func (d *door) makeRoom() {
-	d.core.box.put(shortage{})
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if now := time.Now(); now.Sub(d.asked) >= trimIdle {
+		d.asked = now
+		d.core.box.put(shortage{})
+	}
 	var oldest net.Conn
 	for c, since := range d.idle {
 		if oldest == nil || since.Before(d.idle[oldest]) {
