Bad clients get an error or a close in time, and nothing hidden is passed on

Checked: net/http follows the chunks where both Transfer-Encoding and Content-Length stand and drops the length, so what is left of the body is read as the next request (front.go took it). Ruled out: our own encoding, which writes one length. A request with Transfer-Encoding now gets 411 and its connection's end.

May hurt a client that takes over 2 s for its body.

--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -143,6 +145,8 @@
 	took   time.Duration
 }
 
+var freshID atomic.Uint64
+
 // ask sends one request as a client does.
 func (a *agent) ask(t *testing.T, method, target, body string, with ...string) answered {
 	t.Helper()
@@ -159,7 +163,7 @@
 		return answered{}, err
 	}
 	req.URL.Opaque = target
-	req.Header.Set("X-Request-Id", "9b1f03aa5c7e2d41")
+	req.Header.Set("X-Request-Id", fmt.Sprintf("%016x", freshID.Add(1)))
 	if method == "POST" {
 		req.Header.Set("Idempotency-Key", "5c0f6e1a")
 	}
@@ -182,7 +186,7 @@
 	b := newBox(t, answers("HTTP/1.1 200 OK\r\nContent-Type: text/odd\r\nContent-Length: 4\r\n\r\n\x00\xff\n!"))
 	a := launch(t, nil, host("s-1", b.addr(), "active", 41))
 	target := "/posting//a/../b%2Fc?sid=7f3a9c21e0b4d655&odd;=%zz&&x"
-	got := a.ask(t, "POST", target, "some\r\nbody", "X-Deadline-Ms", "900", "X-Tenant", "nobody", "X-Other", "kept")
+	got := a.ask(t, "POST", target, "some\r\nbody", "X-Request-Id", "9b1f03aa5c7e2d41", "X-Deadline-Ms", "900", "X-Tenant", "nobody", "X-Other", "kept")
 	if got.status != 200 || got.body != "\x00\xff\n!" || got.header.Get("Content-Type") != "text/odd" {
 		t.Errorf("client got %+v", got)
 	}
@@ -219,7 +223,9 @@
 		{"GET", "/lookup", "", []string{"X-Deadline-Ms", "soon"}, 400},
 		{"GET", "/lookup", "", []string{"X-Deadline-Ms", "0"}, 504},
 		{"POST", "/posting", strings.Repeat("x", 65537), nil, 413},
-		{"GET", "/other", "", []string{"X-Class", "lookup"}, 200},
+		{"GET", "/other", "", []string{"X-Class", "lookup"}, 404},
+		{"GET", "/lookup", "", []string{"X-Class", "posting"}, 400},
+		{"GET", "/lookup", "", []string{"X-Class", "lookup"}, 200},
 	} {
 		if got := a.ask(t, c.method, c.target, c.body, c.with...); got.status != c.want {
 			t.Errorf("%s %s %v: got %d %q, want %d", c.method, c.target, c.with, got.status, got.body, c.want)
@@ -230,6 +236,81 @@
 	}
 }
 
+// raw writes what a client may send and reads until the agent ends the connection.
+func (a *agent) raw(t *testing.T, text string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(a.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, text)
+	c.SetReadDeadline(time.Now().Add(patience))
+	got, err := io.ReadAll(c)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%.60q: neither closed nor answered, got %q", text, got)
+	}
+	return string(got)
+}
+
+// What is no request gets an error or a close in time, and nothing of it reaches an appliance.
+func TestBadClients(t *testing.T) {
+	b := newBox(t, answers(ok("done")))
+	a := launch(t, nil, host("s-1", b.addr(), "active", 41))
+	head := "POST /posting HTTP/1.1\r\nHost: x\r\nX-Request-Id: 1\r\nIdempotency-Key: k\r\n"
+	hidden := "GET /lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: 2\r\n\r\n"
+	var wait sync.WaitGroup
+	for _, c := range []struct{ text, want string }{
+		{head + "Content-Length: 64\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "411"},
+		{head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" + hidden, "411"},
+		{head + "Content-Length: 4\r\nContent-Length: 9\r\n\r\nbody" + hidden, "400"},
+		{head + "Content-Length: -4\r\n\r\nbody" + hidden, "400"},
+		{head + "Content-Length: 99999999999\r\n\r\nbody", "413"},
+		{head + "X-Request-Id: 3\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody", "400"},
+		{"GET /lookup HTTP/1.1\r\nX: " + strings.Repeat("x", 1<<20), ""},
+		{"\x16\x03\x01 noise\r\n\r\n", "400"},
+		{head + "Content-Length: 9\r\n\r\nhalf", "400"},
+		{"GET /lookup HTTP/1.1\r\nHost: x\r\n", ""},
+		{"", ""},
+	} {
+		wait.Go(func() {
+			start := time.Now()
+			got := a.raw(t, c.text)
+			if got != "" && !strings.HasPrefix(got, "HTTP/1.1 "+c.want) || strings.Count(got, "HTTP/1.1") > 1 {
+				t.Errorf("%.90q got %.90q, want %s", c.text, got, c.want)
+			}
+			if took := time.Since(start); took > 3*time.Second {
+				t.Errorf("%.60q: kept for %v", c.text, took)
+			}
+		})
+	}
+	wait.Wait()
+	if n := len(b.got()); n != 0 {
+		t.Errorf("%d copies arrived: %+v", n, b.got())
+	}
+}
+
+// A second request under the id of an open txn gets an error; the first goes on, and then the id is free again.
+func TestDoubledID(t *testing.T) {
+	let := make(chan struct{})
+	b := newBox(t, func(c net.Conn, nth int) bool { <-let; return answers(ok("done"))(c, nth) })
+	a := launch(t, nil, host("s-1", b.addr(), "active", 41))
+	first := make(chan answered, 1)
+	go func() {
+		got, _ := a.try(context.Background(), "GET", "/lookup", "", "X-Request-Id", "a1")
+		first <- got
+	}()
+	eventually(t, "the copy", func() bool { return len(b.got()) == 1 })
+	if got := a.ask(t, "POST", "/posting", "x", "X-Request-Id", "a1"); got.status != 409 {
+		t.Errorf("the second got %+v", got)
+	}
+	close(let)
+	if got := <-first; got.status != 200 || len(b.got()) != 1 {
+		t.Errorf("the first got %+v, %d copies", got, len(b.got()))
+	}
+	eventually(t, "the id's freedom", func() bool { return a.ask(t, "GET", "/lookup", "", "X-Request-Id", "a1").status == 200 })
+}
+
 // With nothing to send to, a txn is declined with advice; one that may have run gets an answer by its expiry.
 func TestDeclinedAndVoided(t *testing.T) {
 	b := newBox(t, mute)
--- a/sockets/codec.go
+++ b/sockets/codec.go
@@ -51,6 +51,9 @@
 // ownHeaders are written by pack and bytes, or make no sense on an appliance's connection.
 var ownHeaders = []string{"X-Deadline-Ms", "Content-Length", "Transfer-Encoding", "Host", "Connection", "Expect"}
 
+// onceOnly are the headers of which a second would leave open which one an appliance goes by.
+var onceOnly = []string{"X-Request-Id", "X-Class", "X-Deadline-Ms", "Idempotency-Key"}
+
 // order is what a client's request says.
 type order struct {
 	product, customer int
@@ -83,13 +86,18 @@
 	}
 	path, query, _ := strings.Cut(target, "?")
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	o := &order{product: slices.Index(c.names, first)}
-	if o.product < 0 {
-		o.product = slices.Index(c.names, r.Header.Get("X-Class"))
+	for _, h := range onceOnly {
+		if len(r.Header[h]) > 1 {
+			return bad(http.StatusBadRequest, "more than one %s", h)
+		}
 	}
+	o := &order{product: slices.Index(c.names, first)}
 	if o.product < 0 {
 		return bad(http.StatusNotFound, "no product %.40q", first)
 	}
+	if class := r.Header.Get("X-Class"); class != "" && class != first {
+		return bad(http.StatusBadRequest, "X-Class is %.40q under the path of %s", class, first)
+	}
 	inquiry := c.effects[o.product] == brain.InquiryLike
 	if inquiry != (r.Method == http.MethodGet) || !inquiry && r.Method != http.MethodPost {
 		return bad(http.StatusMethodNotAllowed, "%.20q is not the method of %s", r.Method, first)
--- a/sockets/core.go
+++ b/sockets/core.go
@@ -70,6 +70,7 @@
 	over    bool // it has its final answer, or nobody waits for one
 	out     int  // submissions that have not ended
 	on      *appliance
+	done    func() // when it is over and nothing of it is out; nil where nobody asks
 }
 
 // What the others put into the core's mailbox; the module's own events come as they are.
@@ -194,6 +195,9 @@
 func (c *Core) over(id uint64, t *open) {
 	if t.over = true; t.out == 0 {
 		delete(c.txns, id)
+		if t.done != nil {
+			t.done()
+		}
 	}
 }
 
@@ -208,8 +212,8 @@
 			t.reply <- reply{settled: n.answer}
 			t.over = true
 		}
-		if n.Over = t.over; t.over && t.out == 0 {
-			delete(c.txns, n.ID)
+		if n.Over = t.over; t.over {
+			c.over(n.ID, t)
 		}
 	}
 	c.handle(n.Ended)
--- a/sockets/front.go
+++ b/sockets/front.go
@@ -5,7 +5,7 @@
 	"context"
 	"errors"
 	"io"
-	"log/slog"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -38,18 +38,55 @@
 	server  *http.Server
 	door    *door
 	drains  atomic.Bool
+	ids     ids
 }
 
-// headWait is how long a client may take over a request's head, and exchangeWait over a whole exchange, far over
-// what any takes on a network that works; idleWait is over the time for which clients keep connections.
-const headWait, exchangeWait, idleWait = 10 * time.Second, time.Minute, 10 * time.Minute
+// A client has headWait for a request's head, counted from its coming, and sendWait for the whole: both well inside
+// the 3 s in which who says nothing, or half of something, is owed a close. idleWait is the told time after which a
+// connection without a request may go, with room; exchangeWait is far over any expiry.
+const headWait, sendWait, idleWait, exchangeWait = 1500 * time.Millisecond, 2 * time.Second, 5 * time.Second, time.Minute
+
+// headLimit holds any head of the protocol many times over; hundreds of endless ones must fit into the least memory.
+const headLimit = 8 << 10
+
+// ids are those of the open txns. A second request under one of them would be a copy to an appliance, and could be
+// handed the other's answer.
+type ids struct {
+	mu   sync.Mutex
+	open map[string]bool
+}
+
+func (i *ids) take(id string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.open[id] {
+		return false
+	}
+	i.open[id] = true
+	return true
+}
+
+func (i *ids) free(id string) {
+	i.mu.Lock()
+	delete(i.open, id)
+	i.mu.Unlock()
+}
+
+// grumble takes what the standard library would log, one line a second: clients can cause any number.
+type grumble struct{}
+
+func (grumble) Write(line []byte) (int, error) {
+	complaints.warn("server", "clients' server", "says", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
 
 // NewFront reads requests by the products' names, effects and expiries and the customers' names; most is
 // the number of txns that it may have open, holdOff the longest wait that clients follow.
 func NewFront(core *Core, names []string, effects []brain.Effect, expiry []time.Duration, customers []string,
 	most int, holdOff time.Duration, purse *Purse) *Front {
 	f := &Front{core: core, most: most, holdOff: holdOff.Microseconds(), purse: purse, count: &counter{names, effects, expiry, customers}}
-	quiet := slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
+	f.ids.open = map[string]bool{}
+	quiet := log.New(grumble{}, "", 0)
 	proxy := &httputil.ReverseProxy{Transport: f, ErrorLog: quiet, ErrorHandler: f.failed,
 		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host }, BufferPool: &buffers{},
 		ModifyResponse: func(r *http.Response) error {
@@ -59,14 +96,22 @@
 			return nil
 		}}
 	f.door = newDoor(core, purse)
-	f.server = &http.Server{ErrorLog: quiet, ReadHeaderTimeout: headWait, ReadTimeout: exchangeWait,
-		WriteTimeout: exchangeWait, IdleTimeout: idleWait, MaxHeaderBytes: bodyLimit, ConnState: f.door.state,
+	f.server = &http.Server{ErrorLog: quiet, ReadHeaderTimeout: headWait, ReadTimeout: sendWait,
+		WriteTimeout: exchangeWait, IdleTimeout: idleWait, MaxHeaderBytes: headLimit, ConnState: f.door.state,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/_health" {
 				f.health(w)
 				return
 			}
+			if len(r.TransferEncoding) > 0 {
+				// Clients send lengths. Where both stand the library follows the chunks and drops the length, and what
+				// another reader takes for the body's rest would pass as the next request. Nothing behind it is read.
+				w.Header().Set("Connection", "close")
+				http.Error(w, "a body needs a Content-Length and no Transfer-Encoding", http.StatusLengthRequired)
+				complaints.warn("request411", "request turned away", "status", http.StatusLengthRequired)
+				return
+			}
 			// The path goes on as it came, also where the proxy would tidy it.
 			proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), targetKey{}, r.RequestURI)))
 		})}
@@ -134,7 +179,10 @@
 	case errors.Is(err, errTooLong):
 		return f.turnAway(r, &fault{http.StatusRequestEntityTooLarge, err.Error()})
 	case err != nil:
-		return nil, err // the client has gone
+		return nil, err // the client has gone, or takes too long
+	}
+	if c, is := r.Context().Value(connKey{}).(net.Conn); is {
+		c.SetReadDeadline(time.Time{}) // it has sent all; what it waits for now takes its own time
 	}
 	at := time.Now().Add(-waited(r))
 	defer f.open.Add(-1)
@@ -143,13 +191,17 @@
 		// As over the told cap: sent back before the module has it. It is a jam, so no one should be back soon.
 		return reply{refused: true, holdOff: f.holdOff}.response(r), nil
 	}
+	name := r.Header.Get("X-Request-Id")
+	if !f.ids.take(name) {
+		return f.turnAway(r, &fault{http.StatusConflict, "X-Request-Id is that of an open txn"})
+	}
 	for _, h := range ownHeaders {
 		r.Header.Del(h)
 	}
 	if r.Header.Get("User-Agent") == "" {
 		r.Header.Del("User-Agent")
 	}
-	t := &open{parcel: pack(r.Method, target, r.Host, r.Header, body), reply: make(chan reply, 1), expires: at.Add(o.wait)}
+	t := &open{parcel: pack(r.Method, target, r.Host, r.Header, body), reply: make(chan reply, 1), expires: at.Add(o.wait), done: func() { f.ids.free(name) }}
 	id := f.lastID.Add(1)
 	f.core.box.put(arrived{brain.Taken{ID: id, Product: o.product, Customer: o.customer, Key: o.key,
 		Expires: f.core.clock.at(t.expires), Work: o.work, Repeat: o.repeat}, t})
@@ -164,7 +216,7 @@
 
 // turnAway answers what is no txn; the module never hears of it.
 func (f *Front) turnAway(r *http.Request, bad *fault) (*http.Response, error) {
-	complaints.warn("request"+bad.why, "request turned away", "status", bad.status, "why", bad.why)
+	complaints.warn("request"+strconv.Itoa(bad.status), "request turned away", "status", bad.status, "why", bad.why)
 	return respond(r, bad.status, "text/plain; charset=utf-8", []byte(bad.why+"\n")), nil
 }
 
@@ -197,7 +249,8 @@
 	if r.Context().Err() == nil {
 		complaints.warn("body", "request not read", "err", err)
 	}
-	w.WriteHeader(http.StatusBadGateway)
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusBadRequest)
 }
 
 // Listen opens the door to clients; health answers from here on.
