Spoilt answers are a txn's bad luck, not a broken appliance; answers are bounded

Ruled out: load reports, which the module does not read.

Now: outcome Spoilt, may have run, counts like an error for setting aside but not as evidence on a build; a 4xx is the client's at once, no sign of the appliance; 300 ms from an answer's first byte to its last; head, body and 1xx together under 72 KiB; a body ended by the connection's end alone is not whole.

May harm: a build that spoils under half of its answers is not voted back for it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -123,10 +123,11 @@
 	switch n.Outcome {
 	case OK:
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs*(1-errFade)
-	case Errored:
-		// One that fails fast looks idle and draws ever more txns. On trial the judge first gets its evidence.
+	case Errored, Spoilt:
+		// One that fails fast looks idle and draws ever more txns. On trial the judge first gets its evidence;
+		// answers spoilt on the way are none, and are no broken connection: it lives, and the way may spoil any.
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs+(1-a.errs)*errFade
-		if a.errs > errMost && (!n.trial || a.said >= crossing) {
+		if a.errs > errMost && (!n.trial || n.Outcome == Spoilt || a.said >= crossing) {
 			a.setAside()
 		}
 	case TurnedOff:
@@ -264,7 +265,7 @@
 	a.put(k)
 	d.judge.put(k)
 	z := d.zone(a.Zone)
-	if z.out--; k.sla > 0 && n.Outcome != Errored && n.Outcome != Moot {
+	if z.out--; k.sla > 0 && n.Outcome != Errored && n.Outcome < Moot {
 		z.feel(n.Outcome != OK || n.Took > k.sla, max(1, fewOpen*d.fleet.part(a.Zone, d.post.Agents)))
 	}
 	if t == nil {
@@ -278,7 +279,7 @@
 		return
 	}
 	switch n.Outcome {
-	case Errored, TimedOut, Broken, CalledOff:
+	case Errored, TimedOut, Broken, CalledOff, Spoilt:
 		t.errs += int(one(n.Outcome == Errored))
 		if row := a.Row; t.ran == nil {
 			t.ran, t.ranAt = &row, t.sentAt
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -246,7 +246,7 @@
 			continue
 		}
 		a, p := j.fleet.byID[binary.LittleEndian.Uint32(sheet)], int(sheet[5])
-		if a == nil || byte(a.Build) != sheet[4] || p >= len(j.products) || sheet[6] > byte(Moot) {
+		if a == nil || byte(a.Build) != sheet[4] || p >= len(j.products) || sheet[6] > byte(Spoilt) {
 			continue
 		}
 		out = append(out, told{Ended: Ended{Appliance: a.ID, Outcome: Outcome(sheet[6]),
--- a/brain/port.go
+++ b/brain/port.go
@@ -219,6 +219,7 @@
 	Broken            // may have run
 	CalledOff         // may have run
 	Moot              // never sent
+	Spoilt            // has run, but what came can't be read
 )
 
 // Verdict of a vote.
--- a/sockets/appliance.go
+++ b/sockets/appliance.go
@@ -1,14 +1,16 @@
 package sockets
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"switchfork/brain"
 )
 
@@ -100,7 +102,27 @@
 	job    *job
 	used   bool // a job ended well on it
 	closed bool
-	since  time.Time // idle since
+	since  time.Time     // idle since
+	ask    chan struct{} // a token lets the reader take one answer; closed with the connection
+}
+
+// still tells whether nothing has come in on a connection at rest: neither its end nor anything behind the last
+// answer, which would be taken for the next one's.
+func (c *conn) still() (still bool) {
+	sc, is := c.Conn.(syscall.Conn)
+	if !is {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		var first [1]byte
+		_, _, err := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		still = errors.Is(err, unix.EAGAIN)
+	})
+	return still
 }
 
 func (a *appliance) serve() {
@@ -182,11 +204,14 @@
 	if j.timer == nil {
 		j.timer = time.AfterFunc(wait, func() { a.box.put(due{j}) })
 	}
-	if n := len(a.idle); n > 0 {
-		c := a.idle[n-1]
-		a.idle = a.idle[:n-1]
-		a.write(c, j)
-		return
+	for n := len(a.idle) - 1; n >= 0; n-- {
+		c := a.idle[n]
+		a.idle = a.idle[:n]
+		if c.still() {
+			a.write(c, j)
+			return
+		}
+		a.drop(c)
 	}
 	if !a.pool.purse.appliance() {
 		complaints.warn("budget", "no descriptor left for a connection", "appliance", a.name)
@@ -202,7 +227,7 @@
 			a.box.put(dialed{job: j, err: err})
 			return
 		}
-		c := &conn{Conn: nc, addr: addr}
+		c := &conn{Conn: nc, addr: addr, ask: make(chan struct{}, 1)}
 		a.box.put(dialed{job: j, conn: c})
 		a.read(c)
 	}()
@@ -231,6 +256,7 @@
 
 func (a *appliance) write(c *conn, j *job) {
 	c.job, j.on, j.sent, j.cut = j, c, false, Settled
+	c.ask <- struct{}{} // an answer that comes before the last byte is written is read too
 	raw := j.parcel.bytes(time.Until(j.until))
 	if len(raw) <= writeAtOnce {
 		_, err := c.Write(raw)
@@ -265,15 +291,12 @@
 	}
 }
 
-// read tells of each answer, and of the connection's end.
+// read tells of one answer, or the connection's end, for each job. Between jobs it reads nothing: what an appliance
+// sends behind an answer never meets the next job.
 func (a *appliance) read(c *conn) {
-	br := bufio.NewReaderSize(c.Conn, 4<<10)
-	for {
-		_, err := br.Peek(1)
-		var ans *answer
-		if err == nil {
-			ans, err = readAnswer(br, a.pool.fields)
-		}
+	in := newInflow(c.Conn)
+	for range c.ask {
+		ans, err := in.next(a.pool.fields)
 		a.box.put(heard{c, ans, err})
 		if err != nil || ans.last {
 			return
@@ -284,9 +307,9 @@
 func (a *appliance) heard(n heard) {
 	c, j := n.conn, n.conn.job
 	switch {
-	case c.closed:
-	case j == nil: // idle: it ended, or brought what nobody asked for
-		a.drop(c)
+	case c.closed, j == nil:
+	case n.err == nil && j.probe && n.answer.ending == Rejected:
+		a.finish(j, Errored, n.answer) // it answers, if not to this
 	case n.err == nil:
 		a.finish(j, n.answer.ending, n.answer)
 	case j.sent:
@@ -300,6 +323,9 @@
 // endOf tells a connection's end from an answer that can't be read.
 func endOf(err error) Ending {
 	var op *net.OpError
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return Unreadable // begun, and then no more of it
+	}
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op) {
 		return CutAfter
 	}
@@ -364,6 +390,7 @@
 		return
 	}
 	c.closed = true
+	close(c.ask)
 	c.Close()
 	a.pool.purse.give(0, 1)
 	if i := slices.Index(a.idle, c); i >= 0 {
--- a/sockets/codec.go
+++ b/sockets/codec.go
@@ -10,6 +10,7 @@
 	"hash/fnv"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -172,39 +173,95 @@
 // answer is an appliance's, whole.
 type answer struct {
 	ending Ending
+	status int
 	kind   string // its Content-Type
 	body   []byte
 	load   []float32
 	last   bool // the connection ends with it
 }
 
-// readAnswer takes one answer off a connection.
-func readAnswer(from *bufio.Reader, fields []string) (*answer, error) {
+// inflow reads the answers of one connection. Nothing an appliance sends takes more memory or time than an answer may.
+type inflow struct {
+	conn  net.Conn
+	limit io.LimitedReader
+	br    *bufio.Reader
+}
+
+// answerWait is the longest between an answer's first byte and its last: it is written in one piece, with no work
+// between. It guards against heads and bodies that do not end and lengths that are too long, which would else be
+// waited for until the txn's time is over; it may cut off one that a network delays for so long in its middle.
+const answerWait = 300 * time.Millisecond
+
+var errNoEnd = errors.New("nothing but the connection's end says that the answer is whole")
+
+func newInflow(conn net.Conn) *inflow {
+	a := &inflow{conn: conn, limit: io.LimitedReader{R: conn}}
+	a.br = bufio.NewReaderSize(&a.limit, 4<<10)
+	return a
+}
+
+// next takes one answer, with the words in between that may come ahead of it. If more stands behind it, it is the
+// connection's last.
+func (a *inflow) next(fields []string) (*answer, error) {
+	a.limit.N = headLimit + bodyLimit
 	for {
-		r, err := http.ReadResponse(from, nil)
+		_, err := a.br.Peek(1)
 		if err != nil {
-			return nil, err
-		}
-		if r.StatusCode >= 100 && r.StatusCode < 200 {
-			continue // a word in between
+			return nil, a.over(err)
 		}
-		a := &answer{kind: r.Header.Get("Content-Type"), last: r.Close}
-		if a.body, err = readBody(r.Body, r.ContentLength); err != nil {
-			return nil, err
+		a.conn.SetReadDeadline(time.Now().Add(answerWait))
+		ans, err := readAnswer(a.br, fields)
+		if err != nil {
+			return nil, a.over(err)
 		}
-		r.Body.Close()
-		a.ending = Errored
-		switch {
-		case r.StatusCode == http.StatusOK:
-			a.ending = Settled
-		case r.Header.Get("X-Not-Run") == "1" && (r.StatusCode == 503 || r.StatusCode == 504):
-			a.ending = TurnedAway
+		a.conn.SetReadDeadline(time.Time{})
+		if ans != nil {
+			ans.last = ans.last || a.br.Buffered() > 0
+			return ans, nil
 		}
-		a.load = report([]byte(r.Header.Get("X-Load")), fields)
-		return a, nil
 	}
 }
 
+// over tells an answer that is too long from the connection's end.
+func (a *inflow) over(err error) error {
+	if a.limit.N <= 0 {
+		return errTooLong
+	}
+	return err
+}
+
+// readAnswer takes one answer off a connection; a word in between is none.
+func readAnswer(from *bufio.Reader, fields []string) (*answer, error) {
+	r, err := http.ReadResponse(from, nil)
+	if err != nil {
+		return nil, err
+	}
+	if r.StatusCode >= 100 && r.StatusCode < 200 {
+		return nil, nil
+	}
+	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+		return nil, errNoEnd
+	}
+	a := &answer{status: r.StatusCode, kind: r.Header.Get("Content-Type"), last: r.Close}
+	if a.body, err = readBody(r.Body, r.ContentLength); err != nil {
+		return nil, err
+	}
+	r.Body.Close()
+	a.ending = Errored
+	switch {
+	case r.StatusCode == http.StatusOK:
+		a.ending = Settled
+	case r.Header.Get("X-Not-Run") == "1" && (r.StatusCode == 503 || r.StatusCode == 504):
+		a.ending = TurnedAway
+	case r.StatusCode >= 400 && r.StatusCode < 500 && r.StatusCode != http.StatusTooManyRequests:
+		a.ending = Rejected
+	}
+	a.load = report([]byte(r.Header.Get("X-Load")), fields)
+	return a, nil
+}
+
+const reportMost = 1e9 // no queue, count or share of a machine comes near it
+
 // report reads a load report's fields in the told order; nil where it can't be read or one is missing.
 func report(raw []byte, fields []string) []float32 {
 	var said map[string]float64
@@ -219,7 +276,11 @@
 	for i, f := range fields {
 		v, ok := said[f]
 		if !ok {
-			complaints.warn("report "+f, "load report without a field", "field", f, "report", fmt.Sprintf("%.80q", raw))
+			complaints.warn("report field", "load report without a field", "field", f, "report", fmt.Sprintf("%.80q", raw))
+			return nil
+		}
+		if !(v >= 0 && v < reportMost) {
+			complaints.warn("report figure", "load report with a figure that can't be", "field", f, "figure", v)
 			return nil
 		}
 		out[i] = float32(v)
--- a/sockets/core.go
+++ b/sockets/core.go
@@ -201,14 +201,15 @@
 	}
 }
 
-// ended closes a submission. The first settled answer is the client's.
+// ended closes a submission. The first settled answer is the client's, and so is the word that its request is wrong:
+// no other appliance would find it right.
 func (c *Core) ended(n ended) {
 	t := c.txns[n.ID]
 	if t == nil {
 		n.Over = true
 	} else {
 		t.out--
-		if !t.over && n.ending == Settled {
+		if !t.over && (n.ending == Settled || n.ending == Rejected) {
 			t.reply <- reply{settled: n.answer}
 			t.over = true
 		}
--- a/sockets/ending.go
+++ b/sockets/ending.go
@@ -10,7 +10,8 @@
 
 const (
 	Settled     Ending = iota // a whole 200 answer
-	Errored                   // an answer that is neither 200 nor a turning away
+	Errored                   // an answer that is none of the others
+	Rejected                  // an answer that the request itself is wrong
 	TurnedAway                // an answer that says that it never ran
 	Refused                   // the connection was refused
 	NeverUp                   // the connection did not come up in its time
@@ -31,6 +32,7 @@
 }{
 	Settled:    {brain.OK, "settled"},
 	Errored:    {brain.Errored, "error"},
+	Rejected:   {brain.Moot, "rejected"}, // the client's own doing, and final: no sign of the appliance's state
 	TurnedAway: {brain.TurnedOff, "turned away"},
 	Refused:    {brain.NoConnect, "connection refused"},
 	NeverUp:    {brain.NoConnect, "connection never came up"},
@@ -38,7 +40,7 @@
 	CutAfter:   {brain.Broken, "broke after the last byte"},
 	Silent:     {brain.TimedOut, "nothing in time"},
 	GivenUp:    {brain.CalledOff, "called off"},
-	Unreadable: {brain.Broken, "unreadable answer"},
+	Unreadable: {brain.Spoilt, "unreadable answer"},
 	NotSent:    {brain.Moot, "not sent"},
 	Outdated:   {brain.Moot, "outdated"},
 }
--- a/sockets/front.go
+++ b/sockets/front.go
@@ -224,7 +224,7 @@
 func (a reply) response(r *http.Request) *http.Response {
 	switch {
 	case a.settled != nil:
-		return respond(r, http.StatusOK, a.settled.kind, a.settled.body)
+		return respond(r, a.settled.status, a.settled.kind, a.settled.body)
 	case a.refused:
 		res := respond(r, http.StatusServiceUnavailable, "text/plain; charset=utf-8", []byte("declined; a repeat does no harm\n"))
 		if a.holdOff > 0 {
