SIGHUP rereads the file and moves list and news to the addresses it names

Cause: nothing took SIGHUP, so the runtime ended the process (cmd/switchfork/main.go).

charter.Reread checks the file as a start does; a faulty one is logged with its key. Roster and launcher open at the new address before they leave the old one, which is read until the new one has brought the whole state. Found in the code beside it: news were taken line by line, so an event that is cut off could read as another (ceiling=0.2 of 0.28); they count with the empty line now, and what can't be read ends the stream. A refused launcher was asked again without a pause (launcher.go streamEnd reset the count of failures within 3 s of each try).

--- a/charter/charter.go
+++ b/charter/charter.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"switchfork/brain"
@@ -18,6 +20,61 @@
 	Known    json.RawMessage // the list as this agent last had it, in discovery's form
 	News     json.RawMessage // where the newest build stands, in the launcher's form
 	getenv   func(string) string
+	places   Places
+}
+
+// Places are the addresses that a reload may change, as the file has them.
+type Places struct{ Discovery, Launcher string }
+
+// Reread reads the file again for an agent at work, and checks all of it as at a start. Moved holds the addresses that
+// the file has changed, empty where it has not: a GW_DISCOVERY of the start can't change any more, so it goes before a
+// file that says what it said then, and not before one that says otherwise. Left names the other keys that have
+// changed, which need a restart. What is as it is in the old file stays in force with an error.
+func (f *File) Reread() (next *File, moved Places, left []string, err error) {
+	if next, err = Read(f.getenv); err != nil {
+		return f, moved, nil, err
+	}
+	if err = next.Check(); err != nil {
+		return f, moved, nil, err
+	}
+	if next.places.Discovery != f.places.Discovery {
+		moved.Discovery = next.places.Discovery
+	}
+	if next.places.Launcher != f.places.Launcher {
+		moved.Launcher = next.places.Launcher
+	}
+	apart := func(a, b *Terms) {
+		for k, v := range a.pairs {
+			mine := k == "discovery" || k == "seed" || strings.HasPrefix(k, "platform.") || strings.HasPrefix(k, "known.") ||
+				strings.HasPrefix(k, "settings.") // read apart; the others are of the moment
+			if other, is := b.pairs[k]; !mine && (!is || other != v) && !slices.Contains(left, a.under+k) {
+				left = append(left, a.under+k)
+			}
+		}
+	}
+	apart(f.Terms, next.Terms)
+	apart(next.Terms, f.Terms)
+	apart(f.Settings, next.Settings)
+	apart(next.Settings, f.Settings)
+	slices.Sort(left)
+	return next, moved, left, nil
+}
+
+// Check reads all that a start reads.
+func (f *File) Check() error {
+	f.Post()
+	f.Ration()
+	f.Circle()
+	seed := f.Seed()
+	f.Settings.Goods()
+	f.Settings.Customers()
+	f.Settings.Zones()
+	f.Settings.Lines()
+	if f.Err() != nil {
+		return f.Err()
+	}
+	_, err := f.Settings.Open(seed)
+	return err
 }
 
 // Post is where the agent stands.
@@ -81,6 +138,10 @@
 	if f.Settings, err = nested("config.settings", parts.Settings); err != nil {
 		return nil, err
 	}
+	f.places = Places{f.address("discovery", f.pairs["discovery"]), f.address("platform.address", f.str("platform.address"))}
+	if err = f.Err(); err != nil {
+		return nil, err
+	}
 	return f, nil
 }
 
--- a/cmd/switchfork/main.go
+++ b/cmd/switchfork/main.go
@@ -1,5 +1,6 @@
 // Command switchfork is one agent: it serves clients, sends their txns to appliances and votes on releases as the
-// module decides. It reads what it is told through package charter and runs until SIGTERM.
+// module decides. It reads what it is told through package charter and runs until SIGTERM;
+// SIGHUP has it read the file again.
 package main
 
 import (
@@ -39,6 +40,8 @@
 )
 
 func run() error {
+	hangup := make(chan os.Signal, 1) // taken from here on: one that nobody takes ends the process
+	signal.Notify(hangup, syscall.SIGHUP)
 	file, err := charter.Read(os.Getenv)
 	if err != nil {
 		return err
@@ -94,6 +97,11 @@
 	if err = front.Listen(post.Listen); err != nil {
 		return fmt.Errorf("setting config.listen: %w", err)
 	}
+	go func() {
+		for range hangup {
+			file = reload(file, roster, launcher)
+		}
+	}()
 	slog.Info("serves", "agent", post.Name, "listen", post.Listen)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve() }()
@@ -111,3 +119,23 @@
 	slog.Info("ended")
 	return nil
 }
+
+// reload hands on what the file has changed that may change at work; a faulty file leaves all as it is.
+func reload(file *charter.File, roster *sockets.Roster, launcher *sockets.Launcher) *charter.File {
+	next, moved, left, err := file.Reread()
+	if err != nil {
+		slog.Error("reload: the old stays in force", "err", err)
+		return file
+	}
+	slog.Info("reload", "discovery", moved.Discovery, "platform.address", moved.Launcher)
+	if len(left) > 0 {
+		slog.Warn("reload: other keys need a restart", "keys", left)
+	}
+	if moved.Discovery != "" {
+		roster.Move(moved.Discovery)
+	}
+	if moved.Launcher != "" {
+		launcher.Move(moved.Launcher)
+	}
+	return next
+}
--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -58,6 +58,8 @@
 	url       string
 	discovery *streamer
 	launcher  *streamer
+	file      string // the configuration, and what stands in it
+	conf      string
 	log       *lockedLog
 	exit      chan error
 }
@@ -103,6 +105,7 @@
 		conf = change(conf)
 	}
 	file := filepath.Join(t.TempDir(), "config.json")
+	a.file, a.conf = file, conf
 	if err = os.WriteFile(file, []byte(conf), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -496,6 +499,53 @@
 	}
 }
 
+// SIGHUP moves the agent to the addresses that the file names now, without losing a change; a faulty file changes
+// nothing, and other keys are named.
+func TestReload(t *testing.T) {
+	first, second := newBox(t, answers(ok("1"))), newBox(t, answers(ok("2")))
+	a := launch(t, nil, host("s-1", first.addr(), "active", 41))
+	eventually(t, "the start's watch and news", func() bool { return a.discovery.calls("index=1") == 1 && a.launcher.calls("bulletin") == 1 })
+	reload := func(want string, change ...string) {
+		t.Helper()
+		conf, seen := strings.NewReplacer(change...).Replace(a.conf), strings.Count(a.log.String(), want)
+		if err := os.WriteFile(a.file, []byte(conf), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := a.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, want, func() bool { return strings.Count(a.log.String(), want) > seen })
+	}
+	reload("the old stays in force", `{"name"`, `{"name`)
+	reload("config.settings.Limits.DialTimeoutMs is 0", `"DialTimeoutMs":250.0`, `"DialTimeoutMs":0`)
+	reload(`platform.address=""`)
+	reload("config.limits.sockets", `"sockets":1024`, `"sockets":512`)
+	if a.discovery.calls("") != 1 || a.launcher.calls("") != 1 {
+		t.Errorf("what did not change was asked anew: %q, %q", a.discovery.asked, a.launcher.asked)
+	}
+
+	hosts := line(2, true, host("s-1", first.addr(), "leaving", 41), host("s-2", second.addr(), "active", 41))
+	there := newStreamer(t, "\n", 100*time.Millisecond, func(asked string) string {
+		if strings.Contains(asked, "stream") {
+			return ""
+		}
+		return hosts
+	})
+	news := newStreamer(t, ":\n", 100*time.Millisecond, func(string) string { return bulletin(43, 0, "testing", 0.5) })
+	silent := listen(t)
+	reload("reload", a.discovery.addr(), silent.Addr().String()) // one that says nothing leaves the old one in force
+	a.discovery.tell(line(2, false, host("s-3", second.addr(), "left", 41)))
+	eventually(t, "a change from the old address", func() bool { return strings.Contains(a.log.String(), "seq=2") })
+	reload("reload", a.discovery.addr(), there.addr(), a.launcher.addr(), news.addr())
+	eventually(t, "the new list", func() bool { return a.ask(t, "GET", "/lookup", "").body == "2" })
+	eventually(t, "the new news", func() bool { return strings.Contains(a.log.String(), "build=43") })
+	eventually(t, "the end of the old streams", func() bool { return a.discovery.left() == 1 && a.launcher.left() == 1 })
+	eventually(t, "the new watch", func() bool { return there.calls("index=2") == 1 })
+	if a.discovery.calls("") != 1 || a.launcher.calls("") != 1 {
+		t.Errorf("the old addresses were asked again: %q, %q", a.discovery.asked, a.launcher.asked)
+	}
+}
+
 // What is wrong with the configuration stops the start with one line that names it.
 func TestFaultyCharter(t *testing.T) {
 	for _, c := range []struct{ from, to, want string }{
--- a/sockets/core_test.go
+++ b/sockets/core_test.go
@@ -387,7 +387,7 @@
 	} {
 		l := newStreamer(t, ":\n", time.Hour, func(string) string { return c.answer })
 		r := newRig(t, time.Second, "127.0.0.1:1", l.addr())
-		r.launcher.call(r.ctx, brain.Vote{Build: 42, Stage: 1, Verdict: brain.On})
+		r.launcher.call(r.ctx, r.launcher.base, brain.Vote{Build: 42, Stage: 1, Verdict: brain.On})
 		eventually(t, "the vote's answer", func() bool { return len(seen[brain.Staged](r.script)) == 1 })
 		s := seen[brain.Staged](r.script)[0]
 		if s.Outcome != c.want || !s.Answer || s.Build != 42 || s.Stage != 1 || c.want == brain.OK && (s.Cap != 0.28 || s.Age != 310000) {
@@ -401,7 +401,7 @@
 	gone.Close()
 	for addr, want := range map[string]brain.Outcome{silent.addr(): brain.TimedOut, gone.Addr().String(): brain.NoConnect} {
 		r := newRig(t, time.Second, "127.0.0.1:1", addr)
-		r.launcher.call(r.ctx, brain.Vote{})
+		r.launcher.call(r.ctx, r.launcher.base, brain.Vote{})
 		eventually(t, "the vote's answer", func() bool { return len(seen[brain.Staged](r.script)) == 1 })
 		if s := seen[brain.Staged](r.script)[0]; s.Outcome != want {
 			t.Errorf("told as %+v, want outcome %d", s, want)
@@ -416,12 +416,16 @@
 	go r.launcher.Serve(r.ctx)
 	told := func(n int) func() bool { return func() bool { return len(seen[brain.Staged](r.script)) == n } }
 	eventually(t, "the state at once", told(1))
-	l.tell("event: OTHER\ndata: image=1\n\nevent: ROLLOUT\ndata: image=x&ring=0\n\n" + bulletin(42, 1, "recalling", 0))
+	l.tell("event: OTHER\ndata: image=1\n\n" + bulletin(42, 1, "recalling", 0))
 	eventually(t, "news", told(2))
-	l.cut()
-	eventually(t, "the state on a new stream", told(3))
+	for i, spoilt := range []string{"event: ROLLOUT\ndata: image=x&ring=0\n\n", "noise\n", "event: ROLLOUT\ndata: image=42&ring=1&progress=testing&ceiling=0.2"} {
+		if l.tell(spoilt); strings.HasPrefix(spoilt, "event") && !strings.HasSuffix(spoilt, "\n") {
+			l.cut() // what is cut off may read as another, and is none
+		}
+		eventually(t, "the state on a new stream", told(3+i))
+	}
 	l.mute(true)
-	eventually(t, "another stream beside the silent one", told(4))
+	eventually(t, "another stream beside the silent one", told(6))
 	if s := seen[brain.Staged](r.script); s[1].Phase != brain.GoingBack || s[1].Stage != 1 || s[1].Age != 9000 || s[1].Answer {
 		t.Errorf("told as %+v", s[1])
 	}
--- a/sockets/launcher.go
+++ b/sockets/launcher.go
@@ -26,8 +26,7 @@
 	base    string
 	patient time.Duration // for the answer to a vote
 	box     *mailbox[any]
-	calls   *http.Client
-	streams *http.Client
+	client  *http.Client
 	now     *stream // the one that is believed
 	next    *stream // the one that is to take its place
 	fails   int
@@ -35,30 +34,35 @@
 
 // stream is one connection that brings news.
 type stream struct {
-	stop context.CancelFunc
-	line time.Time // the last
+	stop  context.CancelFunc
+	base  string
+	line  time.Time // the last
+	spoke bool      // it has brought something
 }
 
 type (
 	lineIn struct {
 		from *stream
-		data string // empty: a sign of life
+		news *brain.Staged // nil: a sign of life
 	}
 	streamEnd struct {
 		from *stream
 		err  error
 	}
-	look struct{} // at the time
+	look  struct{} // at the time
+	moved struct{ base string }
 )
 
 func NewLauncher(core *Core, address string, dial, patient time.Duration) *Launcher {
-	// Votes are rare; a connection each leaves none to go stale while it is idle.
-	calls := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dial}).DialContext,
-		DisableKeepAlives: true, DisableCompression: true}}
-	return &Launcher{core: core, base: "http://" + address + "/api/", patient: patient, box: newMailbox[any](),
-		calls: calls, streams: streamClient(dial)}
+	return &Launcher{core: core, base: at(address), patient: patient, box: newMailbox[any](),
+		client: newClient(dial)}
 }
 
+func at(address string) string { return "http://" + address + "/api/" }
+
+// Move goes to another address. The old stream is read until the new one has brought where things stand.
+func (l *Launcher) Move(address string) { l.box.put(moved{at(address)}) }
+
 // Known takes the news that the agent was started with.
 func (l *Launcher) Known(raw json.RawMessage) error {
 	if len(raw) == 0 {
@@ -100,22 +104,31 @@
 func (l *Launcher) note(ctx context.Context, n any) {
 	switch n := n.(type) {
 	case brain.Vote:
-		go l.call(ctx, n)
+		go l.call(ctx, l.base, n)
+	case moved:
+		if l.base = n.base; l.next != nil {
+			l.next.stop()
+		}
+		l.next = l.open(ctx, 0)
 	case lineIn:
-		n.from.line = time.Now()
-		if n.from == l.next && n.data != "" { // it has brought where things stand: nothing is lost between
+		n.from.line, n.from.spoke = time.Now(), true
+		if n.from == l.next && n.news != nil { // it has brought where things stand: nothing is lost between
 			l.now.stop()
 			l.now, l.next = l.next, nil
 		}
-		if n.from == l.now || n.from == l.next {
-			l.news(n.data)
+		if s := n.news; s != nil && n.from == l.now {
+			slog.Info("news", "build", s.Build, "stage", s.Stage, "phase", s.Phase, "cap", s.Cap, "age_ms", s.Age/1000)
+			l.core.urgent.put(*s)
 		}
 	case streamEnd:
 		switch n.from {
 		case l.next:
-			l.next = nil
+			if l.next = nil; l.now.base != l.base { // the old one is about to end
+				l.fails++
+				l.next = l.open(ctx, l.fails)
+			}
 		case l.now:
-			if l.fails++; time.Since(n.from.line) < signsMissed*newsSign {
+			if l.fails++; n.from.spoke {
 				l.fails = 0
 			}
 			complaints.warn("news", "news stream ended", "err", n.err)
@@ -137,23 +150,10 @@
 	}
 }
 
-func (l *Launcher) news(data string) {
-	if data == "" {
-		return
-	}
-	s, err := readNewsForm(data)
-	if err != nil {
-		complaints.warn("news data", "news that can't be read", "err", err)
-		return
-	}
-	slog.Info("news", "build", s.Build, "stage", s.Stage, "phase", s.Phase, "cap", s.Cap, "age_ms", s.Age/1000)
-	l.core.urgent.put(s)
-}
-
 // open starts a stream, after a pause where some failed.
 func (l *Launcher) open(ctx context.Context, fails int) *stream {
 	ctx, stop := context.WithCancel(ctx)
-	s := &stream{stop: stop, line: time.Now()}
+	s := &stream{stop: stop, base: l.base, line: time.Now()}
 	go func() {
 		if fails > 0 {
 			pause(ctx, fails)
@@ -165,11 +165,11 @@
 
 func (l *Launcher) follow(ctx context.Context, s *stream) error {
 	defer s.stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.base+"bulletin", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.base+"bulletin", nil)
 	if err != nil {
 		return err
 	}
-	res, err := l.streams.Do(req)
+	res, err := l.client.Do(req)
 	if err != nil {
 		return err
 	}
@@ -177,32 +177,44 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", res.StatusCode)
 	}
-	sc, kind := bufio.NewScanner(res.Body), ""
+	// An event counts with the empty line that ends it: one that is cut off may read as another. What can't be read
+	// makes the connection useless, and a new one brings where things stand at once.
+	sc, kind, data := bufio.NewScanner(res.Body), "", ""
 	for sc.Scan() {
 		field, value, _ := strings.Cut(sc.Text(), ":")
 		value = strings.TrimPrefix(value, " ")
 		switch {
+		case sc.Text() == "" && kind == "ROLLOUT":
+			news, err := readNewsForm(data)
+			if err != nil {
+				return fmt.Errorf("news that can't be read: %w", err)
+			}
+			l.box.put(lineIn{s, &news})
+			kind, data = "", ""
 		case sc.Text() == "":
-			kind = ""
+			if data != "" {
+				complaints.warn("news kind", "news of a kind not known here", "kind", fmt.Sprintf("%.40q", kind))
+			}
+			kind, data = "", ""
+		case field == "":
+			l.box.put(lineIn{from: s})
 		case field == "event":
 			kind = value
-		case field == "data" && kind == "ROLLOUT":
-			l.box.put(lineIn{s, value})
 		case field == "data":
-			complaints.warn("news kind", "news of a kind not known here", "kind", fmt.Sprintf("%.40q", kind))
-		default:
-			l.box.put(lineIn{from: s})
+			data = value
+		case field != "id" && field != "retry":
+			return fmt.Errorf("a line that is none of an event stream: %.40q", sc.Text())
 		}
 	}
 	return sc.Err()
 }
 
 // call casts one vote and hands its one answer to the core, at the latest after the told patience.
-func (l *Launcher) call(ctx context.Context, v brain.Vote) {
+func (l *Launcher) call(ctx context.Context, base string, v brain.Vote) {
 	ctx, stop := context.WithTimeout(ctx, l.patient)
 	defer stop()
 	start := time.Now()
-	how, s := l.cast(ctx, v)
+	how, s := l.cast(ctx, base, v)
 	s.Answer, s.Outcome = true, how.outcome()
 	if how != Settled {
 		s.Build, s.Stage = v.Build, v.Stage
@@ -212,13 +224,13 @@
 	l.core.urgent.put(s)
 }
 
-func (l *Launcher) cast(ctx context.Context, v brain.Vote) (Ending, brain.Staged) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.base, strings.NewReader(voteForm(v)))
+func (l *Launcher) cast(ctx context.Context, base string, v brain.Vote) (Ending, brain.Staged) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base, strings.NewReader(voteForm(v)))
 	if err != nil {
 		return NotSent, brain.Staged{}
 	}
 	req.Header.Set("Content-Type", "application/x-www-form-urlencoded")
-	res, err := l.calls.Do(req)
+	res, err := l.client.Do(req)
 	var op *net.OpError
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/sockets/roster.go
+++ b/sockets/roster.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"switchfork/brain"
@@ -19,33 +20,111 @@
 // This file owns the list: the watch at discovery, the numbers of appliances, and which line is news. It must
 // never judge an appliance, and never take a row back to an older state.
 
-// Roster is the list's actor.
+// Roster is the list's actor: notes in its mailbox come from its followers, and from Move.
 type Roster struct {
 	core    *Core
-	base    string
 	zones   []string
 	client  *http.Client
 	numbers map[string]uint32 // by host
 	taken   map[uint32]string
-	seq     uint64
-	whole   bool // the next line has to be the whole list
+	box     *mailbox[any]
+	now     *follower // the one that is believed
+	next    *follower // at the address that is to take its place; nil where none is
+}
+
+// follower keeps a watch at one address, reopened with the last version whenever it ends.
+type follower struct {
+	roster *Roster
+	base   string
+	seq    uint64
+	whole  bool // the next line has to be the whole list
+	once   bool // its address has been left: not opened again
+	mu     sync.Mutex
+	stop   context.CancelFunc
+}
+
+// lineOf is a line that a follower has read.
+type lineOf struct {
+	from *follower
+	roll
 }
 
 func NewRoster(core *Core, address string, zones []string, dial time.Duration) *Roster {
-	return &Roster{core: core, base: "http://" + address + "/catalog/members", zones: zones,
-		client: streamClient(dial), numbers: map[string]uint32{}, taken: map[uint32]string{}}
+	r := &Roster{core: core, zones: zones, client: newClient(dial), numbers: map[string]uint32{}, taken: map[uint32]string{},
+		box: newMailbox[any]()}
+	r.now = r.at(address)
+	return r
+}
+
+func (r *Roster) at(address string) *follower {
+	return &follower{roster: r, base: "http://" + address + "/catalog/members", stop: func() {}}
 }
 
-// streamClient is for answers that remain open.
-func streamClient(dial time.Duration) *http.Client {
+// Move goes to another address. The watch at the old one goes on until the new one has brought the whole list, so that
+// no change is lost between; it is not opened again.
+func (r *Roster) Move(address string) { r.box.put(address) }
+
+// Serve empties the mailbox until the end.
+func (r *Roster) Serve(ctx context.Context) {
+	r.now.start(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.box.bell:
+		}
+		for _, n := range r.box.take(nil) {
+			switch n := n.(type) {
+			case lineOf:
+				if n.from == r.next {
+					r.now.stop()
+					r.now, r.next = r.next, nil
+				}
+				if n.from == r.now {
+					r.tell(n.roll)
+				}
+			case string:
+				r.now.leave()
+				if r.next != nil {
+					r.next.stop()
+				}
+				r.next = r.at(n)
+				r.next.whole = true
+				r.next.start(ctx)
+			}
+		}
+	}
+}
+
+func (f *follower) start(ctx context.Context) {
+	ctx, f.stop = context.WithCancel(ctx)
+	go f.serve(ctx)
+}
+
+func (f *follower) leave() {
+	f.mu.Lock()
+	f.once = true
+	f.mu.Unlock()
+}
+
+func (f *follower) left() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.once
+}
+
+// newClient is for discovery and the launcher: streams, and calls so rare that a connection each leaves none to go
+// stale. It follows no one elsewhere, and takes no more of a head than it should.
+func newClient(dial time.Duration) *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dial}).DialContext,
-		DisableKeepAlives: true, DisableCompression: true}}
+		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: headLimit},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
 // Known takes the list that the agent was started with.
 func (r *Roster) Known(raw json.RawMessage) error {
 	if len(raw) == 0 {
-		r.whole = true
+		r.now.whole = true
 		return nil
 	}
 	known, err := readRoll(raw)
@@ -53,6 +132,7 @@
 		return fmt.Errorf("setting config.known: %w", err)
 	}
 	known.Whole = true
+	r.now.seq = known.Seq
 	r.tell(known)
 	return nil
 }
@@ -86,7 +166,6 @@
 		row.ID = r.number(e.Host)
 		out.Rows, out.hosts = append(out.Rows, row), append(out.hosts, e)
 	}
-	r.seq, r.whole = l.Seq, false
 	if len(out.Rows) > 0 || l.Whole {
 		r.core.urgent.put(out)
 	}
@@ -110,63 +189,68 @@
 	}
 }
 
-// Serve keeps the watch, reopened with the last version whenever it ends.
-func (r *Roster) Serve(ctx context.Context) {
-	for fails := 0; ctx.Err() == nil; fails++ {
-		if r.whole {
-			if err := r.fetch(ctx); err != nil {
+func (f *follower) serve(ctx context.Context) {
+	for fails := 0; ctx.Err() == nil && !f.left(); fails++ {
+		if f.whole {
+			if err := f.fetch(ctx); err != nil {
 				complaints.warn("list", "list not fetched", "err", err)
 				pause(ctx, fails)
 				continue
 			}
 		}
-		lines, err := r.watch(ctx)
+		lines, err := f.watch(ctx)
 		if lines > 0 {
 			fails = 0
 		}
 		if ctx.Err() == nil {
-			complaints.warn("watch", "watch ended", "err", err, "seq", r.seq)
+			complaints.warn("watch", "watch ended", "err", err, "seq", f.seq)
 			pause(ctx, fails)
 		}
 	}
 }
 
+// heard takes a line on.
+func (f *follower) heard(l roll) {
+	f.seq, f.whole = l.Seq, false
+	f.roster.box.put(lineOf{f, l})
+}
+
 // fetch takes the whole list, after a line that could not be read.
-func (r *Roster) fetch(ctx context.Context) error {
+func (f *follower) fetch(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, signsMissed*watchSign)
 	defer stop()
-	return r.follow(ctx, r.base, func(line []byte) error {
+	return f.follow(ctx, f.base, func(line []byte) error {
 		l, err := readRoll(line)
 		if err == nil && !l.Whole {
 			err = fmt.Errorf("asked for the whole list, got changes")
 		}
 		if err == nil {
-			r.tell(l)
+			f.heard(l)
 		}
 		return err
 	})
 }
 
-func (r *Roster) watch(ctx context.Context) (lines int, err error) {
+func (f *follower) watch(ctx context.Context) (lines int, err error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	quiet := time.AfterFunc(signsMissed*watchSign, stop)
 	defer quiet.Stop()
-	err = r.follow(ctx, fmt.Sprintf("%s?stream=1&index=%d", r.base, r.seq), func(line []byte) error {
+	err = f.follow(ctx, fmt.Sprintf("%s?stream=1&index=%d", f.base, f.seq), func(line []byte) error {
 		quiet.Reset(signsMissed * watchSign)
 		if lines++; len(line) == 0 {
 			return nil
 		}
 		l, err := readRoll(line)
 		if err != nil {
-			r.whole = true
+			f.whole = true
 			return fmt.Errorf("unreadable line: %w", err)
 		}
-		if l.Seq <= r.seq && !(l.Whole && lines == 1) {
+		if l.Seq <= f.seq && !(l.Whole && lines == 1) {
 			return nil // heard before; a new watch may start with a whole list of whatever version
 		}
 		slog.Info("list", "seq", l.Seq, "whole", l.Whole, "entries", len(l.Hosts))
-		r.tell(l)
+		f.heard(l)
 		return nil
 	})
 	return lines, err
@@ -176,12 +260,12 @@
 const lineLimit = 4 << 20
 
 // follow hands each line of an answer on until it ends.
-func (r *Roster) follow(ctx context.Context, url string, each func([]byte) error) error {
+func (f *follower) follow(ctx context.Context, url string, each func([]byte) error) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
-	res, err := r.client.Do(req)
+	res, err := f.roster.client.Do(req)
 	if err != nil {
 		return err
 	}
--- a/sockets/stand_in_test.go
+++ b/sockets/stand_in_test.go
@@ -142,6 +142,7 @@
 	open  []chan string
 	first func(asked string) string // what a stream or a call is answered at once
 	quiet bool                      // no signs of life
+	gone  int                       // streams that the other side has ended
 }
 
 func newStreamer(t *testing.T, sign string, every time.Duration, first func(asked string) string) *streamer {
@@ -180,6 +181,9 @@
 				}
 				s.mu.Unlock()
 			case <-r.Context().Done():
+				s.mu.Lock()
+				s.gone++
+				s.mu.Unlock()
 				return
 			}
 			w.(http.Flusher).Flush()
@@ -215,6 +219,12 @@
 	s.open = s.open[:len(s.open)-1]
 }
 
+func (s *streamer) left() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gone
+}
+
 func (s *streamer) mute(yes bool) {
 	s.mu.Lock()
 	s.quiet = yes
