--- a/brain/brain.go
+++ b/brain/brain.go
@@ -237,8 +237,8 @@
 // arc guards against keys that draw more than one appliance can do: an agent takes as many arcs for a key as
 // it took its txns in the time in which all agents, alike, fill keyPart of one. It may cost a warm place.
 func (d *desk) arc(key uint64) uint64 {
-	r := d.recent[key]
 	span := d.usual * float64(d.post.Agents) / keyPart
+	r := d.lately(key, Micros(span))
 	r.load = r.load*max(0, 1-float64(d.now-r.at)/span) + 1
 	r.at, r.seq = d.now, r.seq+1
 	d.recent[key] = r
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -115,6 +115,18 @@
 	return &d.ledger[0]
 }
 
+// lately is what is remembered of a key. One not met for a span has no load left, so it is as good as forgotten; two
+// spans' keys are kept at the most.
+func (d *desk) lately(key uint64, span Micros) popular {
+	if d.now >= d.forgetAt {
+		d.recent, d.before, d.forgetAt = map[uint64]popular{}, d.recent, d.now+span
+	}
+	if r, met := d.recent[key]; met {
+		return r
+	}
+	return d.before[key]
+}
+
 // room is fits, asked once for each state of the ledger: in a jam every txn held asks again at every beat, and with
 // a thousand txns a second the count has thousands of entries.
 func (d *desk) room(product, build int, cap float64) bool {
@@ -144,11 +156,18 @@
 			a.put(row)
 		}
 		for _, a := range f.all {
-			if row := a.Row; !a.listed {
+			if row := a.Row; !a.listed && a.State != Gone {
 				row.State = Gone
 				a.put(row)
 			}
 		}
+		f.all = slices.DeleteFunc(f.all, func(a *appliance) bool {
+			if a.State != Gone || a.out > 0 || a.queued {
+				return false // it has an outcome to come, or mail
+			}
+			delete(f.byID, a.ID)
+			return true
+		})
 	case beat:
 		for _, a := range f.all {
 			if a.aside > 0 || len(a.sends) > 0 { // the others wait for nothing
--- a/brain/record.go
+++ b/brain/record.go
@@ -161,6 +161,8 @@
 	held     []*txn
 	bound    map[uint64]int     // one-way: the build that answered a key
 	recent   map[uint64]popular // keys lately taken
+	before   map[uint64]popular // those taken in the span before
+	forgetAt Micros
 	gone     map[uint64]parting // clients turned away who may come back
 	left     []parting          // the same in order of time
 	returns  float64            // the moving share of those who come back
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -284,3 +284,29 @@
 			len(s.log)-s.since, fmt.Sprintf("%+v", s.log[s.since:]))
 	}
 }
+
+// Keys that are always new and appliances that come and go leave nothing behind.
+func TestNothingGrows(t *testing.T) {
+	g := New(Station{Agents: 3, Seed: 7, WarmKeys: true}, []Product{{SLA: second, Expiry: 3 * second, Revenue: 1}},
+		LaunchPlan{Caps: []float64{1}}, Polling{}, Exposure{Window: second}, ColdStart{}, Handover{MaxSubmissions: 3},
+		Licence{}, Fares{}).(*agent)
+	most := 0
+	for id := range uint64(20000) {
+		now := Micros(id) * ms
+		if id%10 == 0 {
+			g.Handle(now, Listed{Full: true, Rows: []Row{{ID: uint32(id), Build: 1, State: Ready, Weight: 1}}})
+		}
+		for _, o := range g.Handle(now, Taken{ID: id, Key: id + 1, Work: 10 * ms, Expires: now + 3*second}) {
+			if s, is := o.(Submit); is {
+				g.Handle(now, Ended{ID: id, Appliance: s.Appliance, Outcome: OK, Took: 10 * ms, Over: true})
+			}
+		}
+		g.Handle(now, Bell{})
+		if id > 10000 {
+			most = max(most, len(g.desk.recent)+len(g.desk.before)+len(g.fleet.all)+len(g.fleet.byID)+len(g.desk.txns))
+		}
+	}
+	if most > 1000 {
+		t.Errorf("%d records are kept", most)
+	}
+}
--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -471,6 +471,33 @@
 	}
 }
 
+// Far more silent connections than descriptors keep nobody waiting, and each is closed in time.
+func TestSilentCrowd(t *testing.T) {
+	b := newBox(t, answers(ok("done")))
+	few := launch(t, func(conf string) string { return strings.Replace(conf, `"sockets":1024`, `"sockets":64`, 1) },
+		host("s-1", b.addr(), "active", 41))
+	few.healthy(t)
+	var wait sync.WaitGroup
+	for range 60 {
+		c, err := net.Dial("tcp", strings.TrimPrefix(few.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		came := time.Now()
+		wait.Go(func() {
+			defer c.Close()
+			c.SetReadDeadline(came.Add(patience))
+			if _, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) || time.Since(came) > 3*time.Second {
+				t.Errorf("kept for %v, %v", time.Since(came), err)
+			}
+		})
+	}
+	if got := few.ask(t, "GET", "/lookup", "", "X-Deadline-Ms", "1900"); got.status != 200 {
+		t.Errorf("behind a silent crowd: %+v", got)
+	}
+	wait.Wait()
+}
+
 // A request that stood unread while the agent was stopped has that much less time left.
 func TestTimeInTheQueueCounts(t *testing.T) {
 	b := newBox(t, mute)
--- a/sockets/appliance.go
+++ b/sockets/appliance.go
@@ -50,6 +50,8 @@
 	idle     []*conn // the last one used is the first to be used again
 	out      map[uint64]*job
 	sweeping bool // a sweep of idle ones is on its way
+	gone     bool // off the list
+	pending  int  // dials and probes that have not ended
 }
 
 type (
@@ -133,6 +135,10 @@
 		for _, n := range notes {
 			a.note(n)
 		}
+		if a.gone && len(a.out)+a.pending == 0 {
+			a.dropIdle(0)
+			return
+		}
 	}
 }
 
@@ -145,6 +151,7 @@
 		a.out[n.id] = j
 		a.begin(j)
 	case probe:
+		a.pending++
 		now := time.Now()
 		a.begin(&job{submission: submission{at: now, until: now.Add(a.pool.dial.Timeout), parcel: a.probing()}, probe: true})
 	case callOff:
@@ -186,7 +193,7 @@
 // listed takes the address on. A process that was replaced takes its idle connections along: what would be
 // written to them ends as a reset.
 func (a *appliance) listed(n listed) {
-	if n.gone || n.Dial != a.addr || n.BornMs != a.born || n.Build != a.build {
+	if a.gone = n.gone; n.gone || n.Dial != a.addr || n.BornMs != a.born || n.Build != a.build {
 		a.dropIdle(0)
 	}
 	if !n.gone {
@@ -219,6 +226,7 @@
 		a.finish(j, NotSent, nil)
 		return
 	}
+	a.pending++
 	addr := a.addr
 	go func() {
 		nc, err := a.pool.dial.Dial("tcp", addr)
@@ -234,6 +242,7 @@
 }
 
 func (a *appliance) dialed(n dialed) {
+	a.pending--
 	switch {
 	case n.err == nil && n.job.over:
 		a.rest(n.conn) // its job gave up; the next one finds it ready
@@ -358,6 +367,7 @@
 			"probe", j.probe, "after_ms", took/1000)
 	}
 	if j.probe {
+		a.pending--
 		p := brain.Probed{Appliance: a.id, Outcome: how.outcome(), Took: took}
 		if ans != nil {
 			if p.Load = ans.load; p.Load == nil {
@@ -376,7 +386,7 @@
 }
 
 func (a *appliance) rest(c *conn) {
-	if c.closed || c.addr != a.addr {
+	if c.closed || c.addr != a.addr || a.gone {
 		a.drop(c)
 		return
 	}
--- a/sockets/core.go
+++ b/sockets/core.go
@@ -220,28 +220,42 @@
 	c.handle(n.Ended)
 }
 
-// listing makes actors for new appliances and passes addresses on before the module hears of the rows.
+// listing makes actors for new appliances and passes addresses on before the module hears of the rows. Those that are
+// gone end by themselves once nothing of theirs is out; one that returns gets a new actor.
 func (c *Core) listing(n listing) {
-	named := map[uint32]bool{}
+	there := map[uint32]bool{}
 	for i, row := range n.Rows {
-		named[row.ID] = true
 		a := c.appliances[row.ID]
+		if row.State == brain.Gone {
+			c.dismiss(a)
+			continue
+		}
+		there[row.ID] = true
 		if a == nil {
 			a = c.hire(row.ID, n.hosts[i])
 			c.appliances[row.ID], c.all = a, append(c.all, a)
 		}
-		a.box.put(listed{n.hosts[i], row.State == brain.Gone})
+		a.box.put(listed{entry: n.hosts[i]})
 	}
 	if n.Full {
-		for _, a := range c.all {
-			if !named[a.id] {
-				a.box.put(listed{gone: true})
+		for _, a := range slices.Clone(c.all) {
+			if !there[a.id] {
+				c.dismiss(a)
 			}
 		}
 	}
 	c.handle(n.Listed)
 }
 
+func (c *Core) dismiss(a *appliance) {
+	if a == nil {
+		return
+	}
+	a.box.put(listed{gone: true})
+	delete(c.appliances, a.id)
+	c.all = slices.DeleteFunc(c.all, func(b *appliance) bool { return a == b })
+}
+
 // handle is the only place that calls the module. A panic there ends the process: a module in an unknown state
 // could break any rule.
 func (c *Core) handle(ev brain.Event) {
@@ -329,7 +343,7 @@
 }
 
 // Purse holds the descriptors for connections, to clients and appliances together, so that neither can use up what
-// the other must have. Connections to appliances get what clients leave; clients leave them an eighth.
+// the other must have. Connections to appliances get what clients leave; clients leave them two fifths.
 type Purse struct {
 	mu                       sync.Mutex
 	most, clients, addresses int
@@ -338,21 +352,17 @@
 
 func NewPurse(most int) *Purse { return &Purse{most: most, given: make(chan struct{}, 1)} }
 
-// clientPart is the most that clients get. A busy client has one submission at most, and in a jam, when there are
-// most clients, few have one: the module holds the others. Seen at the most: a fifth as many.
-const clientPart = 0.875
+// clientPart is the most that clients get: they hold a third at most for requests, each of those has one submission at
+// most, and what is left beside that lets others in, be it to be turned away.
+const clientPart = 0.6
 
-// turnover is the part that is kept from open txns, so that whoever waits at the door is let in and hears at once
-// that there is no room. Without it all fill with txns that the module holds, and those at the door wait unread
-// until their time is over.
+// turnover is the part of the clients' places that is kept from open txns, so that whoever waits at the door is let in
+// and hears at once that there is no room. Without it all fill with txns that the module holds, and those at the door
+// wait unread until their time is over.
 const turnover = 0.125
 
-// Txns is the number that may be open beside the connections to appliances that there are now.
-func (p *Purse) Txns() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return int((1-turnover)*float64(p.most)) - p.addresses
-}
+// Txns is the number that may be open.
+func (p *Purse) Txns() int { return int((1 - turnover) * clientPart * float64(p.most)) }
 
 // appliance books a connection to an appliance, if there is one left.
 func (p *Purse) appliance() bool {
@@ -369,7 +379,7 @@
 func (p *Purse) client() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.clients+p.addresses >= p.most || p.clients >= int(clientPart*float64(p.most)) {
+	if p.clients+p.addresses >= p.most || p.clients >= max(1, int(clientPart*float64(p.most))) {
 		return false
 	}
 	p.clients++
--- a/sockets/front.go
+++ b/sockets/front.go
@@ -43,8 +43,9 @@
 
 // A client has headWait for a request's head, counted from its coming, and sendWait for the whole: both well inside
 // the 3 s in which who says nothing, or half of something, is owed a close. idleWait is the told time after which a
-// connection without a request may go, with room; exchangeWait is far over any expiry.
-const headWait, sendWait, idleWait, exchangeWait = 1500 * time.Millisecond, 2 * time.Second, 5 * time.Second, time.Minute
+// connection without a request may go: who asks once and stays for good holds nothing longer. exchangeWait is far over
+// any expiry.
+const headWait, sendWait, idleWait, exchangeWait = 1500 * time.Millisecond, 2 * time.Second, 2 * time.Second, time.Minute
 
 // headLimit holds any head of the protocol many times over; hundreds of endless ones must fit into the least memory.
 const headLimit = 8 << 10
@@ -294,6 +295,7 @@
 	purse *Purse
 	core  *Core
 	mu    sync.Mutex
+	fresh map[net.Conn]time.Time // came, and has not said anything yet
 	idle  map[net.Conn]time.Time
 	in    map[net.Conn]bool
 	asked time.Time   // when appliances were last asked to drop what they don't use
@@ -301,7 +303,7 @@
 }
 
 func newDoor(core *Core, purse *Purse) *door {
-	return &door{core: core, purse: purse, idle: map[net.Conn]time.Time{}, in: map[net.Conn]bool{}}
+	return &door{core: core, purse: purse, fresh: map[net.Conn]time.Time{}, idle: map[net.Conn]time.Time{}, in: map[net.Conn]bool{}}
 }
 
 // doorWait is how often a waiting door looks for clients that have fallen idle: a small part of any SLA time.
@@ -328,7 +330,10 @@
 	return c, nil
 }
 
-// makeRoom retires the client that has been idle longest, and lets appliances drop what they don't use. The
+// silentWait: clients connect to ask. Who has said nothing for so long makes room for those who wait.
+const silentWait = 250 * time.Millisecond
+
+// makeRoom retires the clients that came and said nothing, or else the one that has been idle longest, and lets appliances drop what they don't use. The
 // server's wait for a request is made to fail: closing would throw away what has been read. One that fell idle
 // just now is left, as the server may not have begun to wait.
 func (d *door) makeRoom() {
@@ -338,17 +343,26 @@
 		d.asked = now
 		d.core.box.put(shortage{})
 	}
+	silent := 0
+	for c, since := range d.fresh {
+		if time.Since(since) >= silentWait {
+			delete(d.fresh, c)
+			c.SetReadDeadline(time.Unix(1, 0))
+			silent++
+		}
+	}
 	var oldest net.Conn
 	for c, since := range d.idle {
 		if oldest == nil || since.Before(d.idle[oldest]) {
 			oldest = c
 		}
 	}
-	if oldest != nil && time.Since(d.idle[oldest]) >= doorWait {
+	if silent == 0 && oldest != nil && time.Since(d.idle[oldest]) >= doorWait {
 		delete(d.idle, oldest)
 		oldest.SetReadDeadline(time.Unix(1, 0))
 	}
-	complaints.warn("door", "no descriptor left for a client", "open", len(d.in), "idle", len(d.idle))
+	complaints.warn("door", "no descriptor left for a client", "open", len(d.in), "idle", len(d.idle),
+		"silent", silent)
 }
 
 // state is told by the server; a closed connection's place is free again.
@@ -356,7 +370,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.idle, c)
+	delete(d.fresh, c)
 	switch s {
+	case http.StateNew:
+		d.fresh[c] = time.Now()
 	case http.StateIdle:
 		d.idle[c] = time.Now()
 	case http.StateClosed, http.StateHijacked:
--- a/sockets/roster.go
+++ b/sockets/roster.go
@@ -169,6 +169,25 @@
 	if len(out.Rows) > 0 || l.Whole {
 		r.core.urgent.put(out)
 	}
+	// A host that is gone gives its number back; it is the same when it returns, but for two hosts that share one.
+	there := map[string]bool{}
+	for i, row := range out.Rows {
+		if there[out.hosts[i].Host] = row.State != brain.Gone; row.State == brain.Gone {
+			r.forget(out.hosts[i].Host)
+		}
+	}
+	if l.Whole {
+		for host := range r.numbers {
+			if !there[host] {
+				r.forget(host)
+			}
+		}
+	}
+}
+
+func (r *Roster) forget(host string) {
+	delete(r.taken, r.numbers[host])
+	delete(r.numbers, host)
 }
 
 const (
