An appliance saves up good outcomes only to its part of the crossing

Traced (ratio, outcomes by build): 19 errors moved the ratio by 2 only. brain.go take(say) let each appliance save up -(crossing+1), while ratio() counts no more than that part of it, so an error first had to use up what was never counted. Ruled out: the launcher, which is away only from 22 s.

Guards against builds that turn bad late, whatever makes them; may vote back a build for errors of something else that begins after the last earlier appliance has gone, as before but sooner.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -72,7 +72,7 @@
 		a.out, a.waits = max(0, a.out-1), a.now
 		a.learn(n)
 	case say:
-		a.said, a.late = max(a.said+n.step, -crossing-1), max(a.late+n.late, -crossing-1)
+		a.said, a.late = max(a.said+n.step, n.least), max(a.late+n.late, -crossing-1)
 		if n.anew {
 			a.said, a.late = 0, 0
 		}
@@ -679,7 +679,8 @@
 	if on == lateness {
 		step *= min(1, float64(j.seen)/float64(ripe)) // the first late ones may all be of one queue
 	}
-	a.put(say{step: step, late: step * float64(on)}) // lateness is 1
+	// Saved up is no more than ratio lets it say, or it would swallow the failures of a build that turns bad late.
+	a.put(say{step: step, late: step * float64(on), least: -(crossing + 1) / float64(max(1, j.fleet.count(a.Build)))})
 }
 
 // oneSays bounds what one of several appliances adds; of a large build a quarter must speak.
--- a/brain/record.go
+++ b/brain/record.go
@@ -9,9 +9,10 @@
 	note any
 	beat struct{} // the tick by which parts look at the time
 	say  struct {
-		step float64
-		late float64 // the part of it that is lateness
-		anew bool
+		step  float64
+		late  float64 // the part of it that is lateness
+		least float64 // the sum does not go below
+		anew  bool
 	} // evidence on its build; or a new stage, where it starts anew
 	turned struct{ peer bool } // a txn was turned away, here or at a peer
 	sent   struct {
