A broken connection is a strike; two in a row, not one, set an appliance aside

Cause: brain.go learn set an appliance aside for a second at each Broken, though it answers on its other connections. Ruled out: descriptors (103 of 384), CPU (0.12 of a core).

Guards against networks and proxies that cut connections one by one. A dead process costs one txn more, which is refused and goes elsewhere.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -46,10 +46,10 @@
 	asideFor, asideSpread = 1 * second, 500 * ms
 	// fullFor: a full appliance works off a txn or two in this time.
 	fullFor = 300 * ms
-	// quietPart of the SLA time with submissions out and no answer: no more until it answers. Guards against all
-	// that makes it go quiet (frozen, cut off, stuck) before time-outs tell; it may spare one with a long txn.
+	// quietPart of the SLA time with submissions out and no answer: no more until it answers. It guards against
+	// all that goes quiet (frozen, cut off, stuck) before time-outs tell, and may spare one with a long txn.
 	quietPart = 0.8
-	// silentStrikes: one time-out may be a heavy txn, two in a row are the appliance.
+	// silentStrikes: one time-out may be a heavy txn, one break a connection's; two in a row are the appliance.
 	silentStrikes = 2
 	// errFade, errMost, errSome: two errors in a row are some, three set it aside.
 	errFade, errMost, errSome = 0.2, 0.45, 0.3
@@ -125,17 +125,17 @@
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs*(1-errFade)
 	case Errored, Spoilt:
 		// One that fails fast looks idle and draws ever more txns. On trial the judge first gets its evidence;
-		// answers spoilt on the way are none, and are no broken connection: it lives, and the way may spoil any.
+		// spoilt answers are none: the way may spoil any.
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs+(1-a.errs)*errFade
 		if a.errs > errMost && (!n.trial || n.Outcome == Spoilt || a.said >= crossing) {
 			a.setAside()
 		}
 	case TurnedOff:
 		a.full = a.now + fullFor
-	case TimedOut:
-		a.strikes += int(one(a.heard < a.now-n.Took))
+	case TimedOut, Broken: // one connection may break for itself; a dead process breaks the next, or refuses it
+		a.strikes += int(one(n.Outcome == Broken || a.heard < a.now-n.Took))
 	}
-	if n.Outcome == NoConnect || n.Outcome == Broken || a.strikes >= silentStrikes {
+	if n.Outcome == NoConnect || a.strikes >= silentStrikes {
 		a.setAside()
 	}
 }
