A drag pauses a release at the stages before the last too

Seen on rude+fleet: build 385 at 40% takes the median of old and new alike from 20 to 150 ms within 3 s at fewer txns than before; the clock votes on all the same at 37 s (brain.go verdict looked at the drag in the last stage only). Ruled out, by the trace: failures (ratio -2.6), lateness of the build alone, traffic.

0.2 s of drag at full dose now pause an earlier stage; the last one keeps 0.5 s. Guards against releases that slow what all share; may delay a good one in a jam of something else.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -124,8 +124,7 @@
 	case OK:
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs*(1-errFade)
 	case Errored, Spoilt:
-		// One that fails fast looks idle and draws ever more txns. On trial the judge first gets its evidence;
-		// spoilt answers are none: the way may spoil any.
+		// One that fails fast looks idle and draws ever more. On trial the judge first gets its evidence.
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs+(1-a.errs)*errFade
 		if a.errs > errMost && (!n.trial || n.Outcome == Spoilt || a.said >= crossing) {
 			a.setAside()
@@ -727,8 +726,8 @@
 	doseFade = 0.02
 	// wholeFleet: with fewer appliances than this part of the calm's, the rest are slow for that reason.
 	wholeFleet = 0.85
-	// dragHolds back a release soon; dragLasts outlives most passing jams.
-	dragHolds, dragLasts = 0.5e6, 9e6
+	// dragHolds back a release, dragPauses a stage before; dragLasts outlives most passing jams.
+	dragHolds, dragPauses, dragLasts = 0.5e6, 0.2e6, 9e6
 	// doneSpan and calmSpan: completions are averaged over these times.
 	doneSpan, calmSpan = 3 * second, 10 * second
 	// settleAfter its release, a build counts as part of the calm.
@@ -792,7 +791,8 @@
 		return NoVote
 	case j.polling.Ballot == BallotTimer && ratio > holdAbove:
 		return Hold
-	case j.polling.Ballot == BallotTimer, last && (drags && j.slow >= dragHolds || j.share < shareDone):
+	case j.polling.Ballot == BallotTimer, drags && !last && j.slow >= dragPauses,
+		last && (drags && j.slow >= dragHolds || j.share < shareDone):
 		return NoVote
 	}
 	newest := j.fleet.newest(j.build)
