Clients' idle connections hold a tenth of the descriptors, the oldest goes first

Traced: the module's limits are open, the front gives no 503, each request comes on a new connection and the old ones stay idle, 190 of 211. Cause: front.go kept each for 2 s unless all descriptors were used, so clients had no place left to ask from.

--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -498,6 +498,37 @@
 	wait.Wait()
 }
 
+// Clients that ask once and keep their connection hold few: beyond those, the one idle longest ends before its time.
+func TestAskedOnce(t *testing.T) {
+	b := newBox(t, answers(ok("done")))
+	few := launch(t, func(conf string) string { return strings.Replace(conf, `"sockets":1024`, `"sockets":64`, 1) },
+		host("s-1", b.addr(), "active", 41))
+	few.healthy(t)
+	var first net.Conn
+	start := time.Now()
+	for i := range 8 {
+		c, err := net.Dial("tcp", strings.TrimPrefix(few.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "GET /lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: once%d\r\n\r\n", i)
+		if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != 200 {
+			t.Fatalf("got %+v, %v", res, err)
+		}
+		if first == nil {
+			first = c
+		}
+		for fell := time.Now(); time.Since(fell) < 10*time.Millisecond; { // one that fell idle just now is left
+			time.Sleep(time.Millisecond)
+		}
+	}
+	first.SetReadDeadline(start.Add(patience))
+	if _, err := io.ReadAll(first); err != nil || time.Since(start) > idleWait/2 {
+		t.Errorf("the first one ended after %v, %v", time.Since(start), err)
+	}
+}
+
 // A request that stood unread while the agent was stopped has that much less time left.
 func TestTimeInTheQueueCounts(t *testing.T) {
 	b := newBox(t, mute)
--- a/sockets/core.go
+++ b/sockets/core.go
@@ -364,6 +364,13 @@
 // Txns is the number that may be open.
 func (p *Purse) Txns() int { return int((1 - turnover) * clientPart * float64(p.most)) }
 
+// idlePart is the most that clients' idle connections may hold, a few times what traffic needs between two requests.
+// It guards against clients that ask once and keep the connection: they may have no place left to ask from while each
+// stands for its idle time. It costs a handshake where clients come back in turn, the one idle longest first.
+const idlePart = 0.1
+
+func (p *Purse) Idle() int { return max(1, int(idlePart*float64(p.most))) }
+
 // appliance books a connection to an appliance, if there is one left.
 func (p *Purse) appliance() bool {
 	p.mu.Lock()
--- a/sockets/front.go
+++ b/sockets/front.go
@@ -334,8 +334,7 @@
 const silentWait = 250 * time.Millisecond
 
 // makeRoom retires the clients that came and said nothing, or else the one that has been idle longest, and lets appliances drop what they don't use. The
-// server's wait for a request is made to fail: closing would throw away what has been read. One that fell idle
-// just now is left, as the server may not have begun to wait.
+// server's wait for a request is made to fail: closing would throw away what has been read.
 func (d *door) makeRoom() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -351,18 +350,25 @@
 			silent++
 		}
 	}
+	if silent == 0 {
+		d.retire()
+	}
+	complaints.warn("door", "no descriptor left for a client", "open", len(d.in), "idle", len(d.idle),
+		"silent", silent)
+}
+
+// retire ends the client's connection that has been idle longest, unless the server may not have begun to wait on it.
+func (d *door) retire() {
 	var oldest net.Conn
 	for c, since := range d.idle {
 		if oldest == nil || since.Before(d.idle[oldest]) {
 			oldest = c
 		}
 	}
-	if silent == 0 && oldest != nil && time.Since(d.idle[oldest]) >= doorWait {
+	if oldest != nil && time.Since(d.idle[oldest]) >= doorWait {
 		delete(d.idle, oldest)
 		oldest.SetReadDeadline(time.Unix(1, 0))
 	}
-	complaints.warn("door", "no descriptor left for a client", "open", len(d.in), "idle", len(d.idle),
-		"silent", silent)
 }
 
 // state is told by the server; a closed connection's place is free again.
@@ -375,7 +381,9 @@
 	case http.StateNew:
 		d.fresh[c] = time.Now()
 	case http.StateIdle:
-		d.idle[c] = time.Now()
+		if d.idle[c] = time.Now(); len(d.idle) > d.purse.Idle() {
+			d.retire()
+		}
 	case http.StateClosed, http.StateHijacked:
 		if d.in[c] {
 			delete(d.in, c)
