News of a phase no longer wipe the good outcomes that appliances saved up

Cause: the change that saves good outcomes by parts gave the note a lower bound, which the note of a new phase (brain.go judge.take, say{anew}) left at 0, so all that spoke for the build went and the errors of three sick machines stayed. Ruled out: the ratio itself (their part is capped), drags (none), restarts (one of the two agents had not restarted).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -49,7 +49,7 @@
 	// quietPart of the SLA time with submissions out and no answer: no more until it answers. It guards against
 	// all that goes quiet (frozen, cut off, stuck) before time-outs tell, and may spare one with a long txn.
 	quietPart = 0.8
-	// silentStrikes: one time-out may be a heavy txn, one break a connection's; two in a row are the appliance.
+	// silentStrikes: one time-out may be a heavy txn, one break a connection's; two in a row are its own.
 	silentStrikes = 2
 	// errFade, errMost, errSome: two errors in a row are some, three set it aside.
 	errFade, errMost, errSome = 0.2, 0.45, 0.3
@@ -602,7 +602,7 @@
 		if j.hear(n) {
 			j.cast = NoVote
 			for _, a := range j.fleet.all {
-				a.put(say{anew: !same}) // a release takes its last stage's evidence along
+				a.put(say{anew: !same, least: -crossing - 1}) // a release takes its last stage's evidence along
 			}
 			j.seen *= int(one(same))
 			j.since = max(j.now-n.Age, j.began)
@@ -655,8 +655,8 @@
 	floor, times, fade, ripe := 0.01, 3.0, 0.997, ripe
 	if on == lateness {
 		floor, times, fade = 0.1, 4, 0.98 // commoner, so it must differ by more; over some fifty, as jams pass
-		if j.sits {
-			fade, ripe = 0.998, benchRipe // the bench hears more in the same time
+		if j.sits { // the bench hears more in the same time
+			fade, ripe = 0.998, benchRipe
 		}
 	}
 	if a.Build < j.build {
@@ -678,8 +678,9 @@
 	if on == lateness {
 		step *= min(1, float64(j.seen)/float64(ripe)) // the first late ones may all be of one queue
 	}
-	// Saved up is no more than ratio lets it say, or it would swallow the failures of a build that turns bad late.
-	a.put(say{step: step, late: step * float64(on), least: -(crossing + 1) / float64(max(1, j.fleet.count(a.Build)))})
+	// No more is saved up than ratio counts: it would swallow the failures of a build that turns bad late.
+	n := float64(max(1, j.fleet.count(a.Build)))
+	a.put(say{step: step, late: step * float64(on), least: -(crossing + 1) / n})
 }
 
 // oneSays bounds what one of several appliances adds; of a large build a quarter must speak.
@@ -724,8 +725,7 @@
 	dragAlone, aloneCounts = 1.6, 0.7
 	// doseFade: the build's part of the answers, over the last fifty.
 	doseFade = 0.02
-	// wholeFleet: with fewer appliances than this part of the calm's, the rest are slow for that reason.
-	wholeFleet = 0.85
+	wholeFleet = 0.85 // with fewer appliances than this part of the calm's, the rest are slow for that reason
 	// dragHolds back a release, dragPauses a stage before; dragLasts outlives most passing jams.
 	dragHolds, dragPauses, dragLasts = 0.5e6, 0.2e6, 9e6
 	// doneSpan and calmSpan: completions are averaged over these times.
