--- a/brain/brain.go
+++ b/brain/brain.go
@@ -655,7 +655,7 @@
 	floor, times, fade, ripe := 0.01, 3.0, 0.997, ripe
 	if on == lateness {
 		floor, times, fade = 0.1, 4, 0.98 // commoner, so it must differ by more; over some fifty, as jams pass
-		if j.sits { // the bench hears more in the same time
+		if j.sits {                       // the bench hears more in the same time
 			fade, ripe = 0.998, benchRipe
 		}
 	}
@@ -724,7 +724,7 @@
 	// dragAlone is slow enough without a drop; it counts for less.
 	dragAlone, aloneCounts = 1.6, 0.7
 	// doseFade: the build's part of the answers, over the last fifty.
-	doseFade = 0.02
+	doseFade   = 0.02
 	wholeFleet = 0.85 // with fewer appliances than this part of the calm's, the rest are slow for that reason
 	// dragHolds back a release, dragPauses a stage before; dragLasts outlives most passing jams.
 	dragHolds, dragPauses, dragLasts = 0.5e6, 0.2e6, 9e6
