The judge holds at any size: failures in one sum, lateness apart, one machine bounded

Traced (ratio, what each appliance says, who votes): two late machines of eight whose lateness was taken out only in part, as its two accounts saved up differently; agents that heard 5 to 10 of 130 machines and bounded what those had shown well by the 130; and a pause at 0.2 s of drag that held a good release for 13 s.

Failures of a build are one sum now, which saves up the crossing and one more in all; one machine's part of it is bounded apart. Lateness is one account by machine, half its part saved up, by the number heard. The earlier stages pause at 0.3 s of drag. Guards against errors that come everywhere in a large fleet, and against builds that turn bad late; may be slower on a build that fails on under a quarter of its machines.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -72,9 +72,13 @@
 		a.out, a.waits = max(0, a.out-1), a.now
 		a.learn(n)
 	case say:
-		a.said, a.late = max(a.said+n.step, n.least), max(a.late+n.late, -crossing-1)
+		a.said, a.late = max(0, a.said+n.step), max(a.late+n.late, -crossing-1)
+		if n.late != 0 {
+			a.lag = max(a.lag+n.late, n.least)
+		}
+		a.spoke = a.spoke || n.step != 0 || n.late != 0
 		if n.anew {
-			a.said, a.late = 0, 0
+			a.said, a.late, a.lag, a.spoke = 0, 0, 0, false
 		}
 	case beat:
 		for len(a.sends) > 0 && a.sends[0].at <= a.now-a.cold.After {
@@ -124,9 +128,9 @@
 	case OK:
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs*(1-errFade)
 	case Errored, Spoilt:
-		// One that fails fast looks idle and draws ever more. On trial the judge first gets its evidence.
+		// One that fails fast looks idle and draws ever more. On trial the judge first gets all that one can add.
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs+(1-a.errs)*errFade
-		if a.errs > errMost && (!n.trial || n.Outcome == Spoilt || a.said >= crossing) {
+		if a.errs > errMost && (!n.trial || n.Outcome == Spoilt || a.said >= 2*crossing+1) {
 			a.setAside()
 		}
 	case TurnedOff:
@@ -602,9 +606,9 @@
 		if j.hear(n) {
 			j.cast = NoVote
 			for _, a := range j.fleet.all {
-				a.put(say{anew: !same, least: -crossing - 1}) // a release takes its last stage's evidence along
+				a.put(say{anew: !same}) // a release takes its last stage's evidence along
 			}
-			j.seen *= int(one(same))
+			j.seen, j.sum, j.low = j.seen*int(one(same)), j.sum*one(same), j.low*one(same)
 			j.since = max(j.now-n.Age, j.began)
 		}
 	case told:
@@ -677,38 +681,55 @@
 	}
 	if on == lateness {
 		step *= min(1, float64(j.seen)/float64(ripe)) // the first late ones may all be of one queue
+		// It saves up half of its part of what the ratio counts, so that failures beside it are still seen.
+		a.put(say{late: step, least: -(crossing + 1) / 2 / float64(j.fleet.heard(a))})
+		return
+	}
+	a.put(say{step: step})
+	// One of several adds its part of what was saved up and its bound, one error at the least; and no more
+	// than one while machines of earlier builds fail too: then it is no sign of the build.
+	most := math.Inf(1)
+	if n := float64(j.fleet.count(a.Build)); n > 1 {
+		most = max(step, min(oneSays, speakers*crossing/n)-j.low/n)
+	}
+	if j.fleet.failing(j.build, errMost) {
+		most = min(most, step)
+	}
+	if failed {
+		step = min(step, max(0, most-a.said))
 	}
-	// No more is saved up than ratio counts: it would swallow the failures of a build that turns bad late.
-	n := float64(max(1, j.fleet.count(a.Build)))
-	a.put(say{step: step, late: step * float64(on), least: -(crossing + 1) / n})
+	j.sum = max(j.sum+step, -crossing-1)
+	j.low = min(j.low, j.sum)
 }
 
 // oneSays bounds what one of several appliances adds; of a large build a quarter must speak.
 const oneSays, speakers = 2, 4
 
-// ratio adds up what the build's appliances say. It guards against machines that fail by themselves: a bad
-// build fails on most alike. Good outcomes are not saved up past the crossing: a build may turn bad late.
-func (j *judge) ratio() (sum float64) {
-	var says, lates []float64
+// ratio is what the build's outcomes say together. Failures are summed over all of its appliances, with good
+// outcomes saved up to the crossing in all and not by each: a build may turn bad late, and in a large fleet a
+// few errors are nobody's. What one appliance adds is bounded: a bad build fails, and is late, on most alike.
+func (j *judge) ratio() float64 {
+	var lates, lags []float64
 	around := j.fleet.failing(j.build, errMost) // then machines that fail here are no sign of the build
 	for _, a := range j.fleet.all {             // those never heard of say nothing
-		if a.ready() && a.Build == j.build && a.said != 0 && !(around && a.errs > errSome) {
-			says, lates = append(says, a.said), append(lates, a.late)
-		}
-	}
-	n := float64(len(says))
-	if n > 1 && (j.sits || j.seen >= leastSeen*len(says)) && lower(lates) <= 0 {
-		for i := range says {
-			says[i] -= max(0, lates[i]) // half are not late: it is some machines, or their load
+		if a.ready() && a.Build == j.build && a.spoke && !(around && a.errs > errSome) {
+			lates, lags = append(lates, a.late), append(lags, a.lag)
 		}
 	}
-	for _, said := range says {
+	n, sum := float64(len(lates)), 0.0
+	for _, lag := range lags {
 		if n > 1 {
-			said = min(said, oneSays, speakers*crossing/n)
+			lag = min(lag, oneSays, speakers*crossing/n)
 		}
-		sum += max(said, -(crossing+1)/n)
+		sum += max(lag, -(crossing+1)/n)
+	}
+	if n > 1 && (j.sits || j.seen >= leastSeen*len(lates)) && lower(lates) <= 0 {
+		sum = min(sum, 0) // half are not late: it is some machines, or their load
+	}
+	if j.sum > 0 {
+		sum = max(sum, 0) // quick answers do not speak for a build that fails
 	}
-	return sum
+	return j.sum + sum
 }
 
 const (
@@ -727,7 +748,7 @@
 	doseFade   = 0.02
 	wholeFleet = 0.85 // with fewer appliances than this part of the calm's, the rest are slow for that reason
 	// dragHolds back a release, dragPauses a stage before; dragLasts outlives most passing jams.
-	dragHolds, dragPauses, dragLasts = 0.5e6, 0.2e6, 9e6
+	dragHolds, dragPauses, dragLasts = 0.5e6, 0.3e6, 9e6
 	// doneSpan and calmSpan: completions are averaged over these times.
 	doneSpan, calmSpan = 3 * second, 10 * second
 	// settleAfter its release, a build counts as part of the calm.
@@ -785,7 +806,8 @@
 	switch {
 	case j.build == 0 || j.spoiled[j.build]:
 		return NoVote
-	case j.seen >= least && ratio >= bar, drags && j.judges() && j.slow >= dragLasts:
+	case j.seen >= least && ratio >= bar,
+		drags && j.judges() && j.slow >= dragLasts:
 		return Back
 	case j.phase != OnTrial:
 		return NoVote
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -438,3 +438,11 @@
 	slices.Sort(sorted)
 	return sorted[(len(sorted)-1)/2]
 }
+
+// heard is the number of a build's ready appliances that have said something, this one among them.
+func (f *fleet) heard(b *appliance) (n int) {
+	for _, a := range f.all {
+		n += int(one(a == b || a.spoke && a.ready() && a.Build == b.Build))
+	}
+	return n
+}
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -156,7 +157,18 @@
 	case "wait":
 	case "list":
 		l := Listed{Full: w[0] == "full", Failed: w[0] == "failed"}
-		for _, x := range w[1:] { // id/build/zone, then - draining, ! gone, @ms started
+		var rows []string
+		for _, x := range w[1:] { // first..last/build/zone is a row each
+			first, rest, many := strings.Cut(x, "..")
+			if last, kind, _ := strings.Cut(rest, "/"); many {
+				for id := s.num(first); id <= s.num(last); id++ {
+					rows = append(rows, fmt.Sprintf("%.0f/%s", id, kind))
+				}
+			} else {
+				rows = append(rows, x)
+			}
+		}
+		for _, x := range rows { // id/build/zone, then - draining, ! gone, @ms started
 			x, started, _ := strings.Cut(x, "@")
 			row := Row{State: Ready, Weight: 1}
 			if started != "" {
@@ -209,18 +221,23 @@
 		for n := s.num(w[1]); n > 0; n-- { // ID TIMES
 			s.give(Flagged{Appliance: uint32(s.num(w[0]))})
 		}
-	case "run": // until=ms every=ms fail=build failat=id: traffic, each txn answered in time
+	case "run": // until=ms every=ms fail=build failat=id slowat=id,id errs=every keys=many: traffic, each txn answered in time
 		m := opts(w)
 		since := len(s.log)
-		for id := uint64(1e6) + uint64(s.now); s.now < Micros(s.val(m, "until", 0))*ms; id++ {
+		errs, keys := int(s.val(m, "errs", 0)), int(s.val(m, "keys", 0))
+		for id, i := uint64(1e6)+uint64(s.now), 1; s.now < Micros(s.val(m, "until", 0))*ms; id, i = id+1, i+1 {
+			if keys > 0 {
+				m["key"] = strconv.Itoa(1 + i%keys)
+			}
 			s.txn(id, m)
+			spoil := errs > 0 && i%errs == 0
 			for a, sent := s.on[id]; sent; a, sent = s.on[id] {
 				how := OK
-				if s.builds[a] == int(s.val(m, "fail", -1)) || a == uint32(s.val(m, "failat", 0)) {
-					how = Errored
+				if s.builds[a] == int(s.val(m, "fail", -1)) || a == uint32(s.val(m, "failat", 0)) || spoil {
+					how, spoil = Errored, false
 				}
 				took := Micros(s.val(m, "took", 20)) * ms
-				if s.builds[a] == int(s.val(m, "slow", -1)) {
+				if s.builds[a] == int(s.val(m, "slow", -1)) || slices.Contains(strings.Split(m["slowat"], ","), fmt.Sprint(a)) {
 					took = 1500 * ms
 				}
 				s.end(id, how, took)
