--- a/brain/brain.go
+++ b/brain/brain.go
@@ -72,13 +72,16 @@
 		a.out, a.waits = max(0, a.out-1), a.now
 		a.learn(n)
 	case say:
-		a.said, a.late = max(0, a.said+n.step), max(a.late+n.late, -crossing-1)
+		a.late = max(a.late+n.late, -crossing-1)
+		if n.step != 0 {
+			a.said, a.fails = max(a.said+n.step, n.least), max(0, a.fails+n.step)
+		}
 		if n.late != 0 {
 			a.lag = max(a.lag+n.late, n.least)
 		}
 		a.spoke = a.spoke || n.step != 0 || n.late != 0
 		if n.anew {
-			a.said, a.late, a.lag, a.spoke = 0, 0, 0, false
+			a.said, a.fails, a.late, a.lag, a.spoke = 0, 0, 0, 0, false
 		}
 	case beat:
 		for len(a.sends) > 0 && a.sends[0].at <= a.now-a.cold.After {
@@ -128,9 +131,9 @@
 	case OK:
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs*(1-errFade)
 	case Errored, Spoilt:
-		// One that fails fast looks idle and draws ever more. On trial the judge first gets all that one can add.
+		// One that fails fast looks idle and draws ever more. On trial the judge first gets its evidence.
 		a.strikes, a.heard, a.errs = 0, a.now, a.errs+(1-a.errs)*errFade
-		if a.errs > errMost && (!n.trial || n.Outcome == Spoilt || a.said >= 2*crossing+1) {
+		if a.errs > errMost && (!n.trial || n.Outcome == Spoilt || a.said+a.lag >= crossing) {
 			a.setAside()
 		}
 	case TurnedOff:
@@ -198,7 +201,7 @@
 	switch n := n.(type) {
 	case Taken:
 		h := cmp.Or(n.Key, n.ID)
-		t := &txn{Taken: n, at: d.now, spot: mix(n.ID ^ ringSalt)}
+		t := &txn{Taken: n, at: cmp.Or(n.Came, d.now), spot: mix(n.ID ^ ringSalt)}
 		t.fraction = float64(mix(h^sliceSalt)>>11) / (1 << 53)
 		if n.Work > 0 {
 			d.usual += (float64(n.Work) - d.usual) * usualFade
@@ -608,7 +611,7 @@
 			for _, a := range j.fleet.all {
 				a.put(say{anew: !same}) // a release takes its last stage's evidence along
 			}
-			j.seen, j.sum, j.low = j.seen*int(one(same)), j.sum*one(same), j.low*one(same)
+			j.seen, j.sum = j.seen*int(one(same)), j.sum*one(same)
 			j.since = max(j.now-n.Age, j.began)
 		}
 	case told:
@@ -685,51 +688,53 @@
 		a.put(say{late: step, least: -(crossing + 1) / 2 / float64(j.fleet.heard(a))})
 		return
 	}
-	a.put(say{step: step})
-	// One of several adds its part of what was saved up and its bound, one error at the least; and no more
-	// than one while machines of earlier builds fail too: then it is no sign of the build.
-	most := math.Inf(1)
-	if n := float64(j.fleet.count(a.Build)); n > 1 {
-		most = max(step, min(oneSays, speakers*crossing/n)-j.low/n)
-	}
-	if j.fleet.failing(j.build, errMost) {
-		most = min(most, step)
-	}
-	if failed {
-		step = min(step, max(0, most-a.said))
-	}
-	j.sum = max(j.sum+step, -crossing-1)
-	j.low = min(j.low, j.sum)
+	a.put(say{step: step, least: -(crossing + 1) / float64(j.fleet.heard(a))})
+	// One appliance of a large build adds no more than one error; past it its good outcomes do not count either.
+	most := math.Log(times)
+	j.sum = max(j.sum+min(a.fails+step, most)-min(a.fails, most), -crossing-1)
 }
 
+// largeBuild: over so many appliances failures are one sum, good outcomes saved up to the crossing in all. By
+// appliance each saves up a small part of an error there, and of errors that come everywhere most count as
+// failing; in a smaller build the sum is too slow: the few errors met have all good outcomes against them.
+const largeBuild = 24
+
 // oneSays bounds what one of several appliances adds; of a large build a quarter must speak.
 const oneSays, speakers = 2, 4
 
-// ratio is what the build's outcomes say together. Failures are summed over all of its appliances, with good
-// outcomes saved up to the crossing in all and not by each: a build may turn bad late, and in a large fleet a
-// few errors are nobody's. What one appliance adds is bounded: a bad build fails, and is late, on most alike.
+// ratio adds up what the build's appliances say, on failures and on lateness apart, each bounded: a bad build
+// fails, and is late, on most alike. Neither is saved up past the crossing: a build may turn bad late.
 func (j *judge) ratio() float64 {
-	var lates, lags []float64
+	var saids, lates, lags []float64
 	around := j.fleet.failing(j.build, errMost) // then machines that fail here are no sign of the build
 	for _, a := range j.fleet.all {             // those never heard of say nothing
 		if a.ready() && a.Build == j.build && a.spoke && !(around && a.errs > errSome) {
-			lates, lags = append(lates, a.late), append(lags, a.lag)
+			saids, lates, lags = append(saids, a.said), append(lates, a.late), append(lags, a.lag)
 		}
 	}
-	n, sum := float64(len(lates)), 0.0
-	for _, lag := range lags {
-		if n > 1 {
-			lag = min(lag, oneSays, speakers*crossing/n)
-		}
-		sum += max(lag, -(crossing+1)/n)
+	failing, late := bounded(saids), bounded(lags)
+	if len(saids) > largeBuild {
+		failing = j.sum
+	}
+	if len(lates) > 1 && (j.sits || j.seen >= leastSeen*len(lates)) && lower(lates) <= 0 {
+		late = min(late, 0) // half are not late: it is some machines, or their load
 	}
-	if n > 1 && (j.sits || j.seen >= leastSeen*len(lates)) && lower(lates) <= 0 {
-		sum = min(sum, 0) // half are not late: it is some machines, or their load
+	if failing > 0 {
+		late = max(late, 0) // quick answers do not speak for a build that fails
 	}
-	if j.sum > 0 {
-		sum = max(sum, 0) // quick answers do not speak for a build that fails
+	return failing + late
+}
+
+// bounded adds up what appliances say, each in its bounds.
+func bounded(says []float64) (sum float64) {
+	n := float64(len(says))
+	for _, said := range says {
+		if n > 1 {
+			said = min(said, oneSays, speakers*crossing/n)
+		}
+		sum += max(said, -(crossing+1)/n)
 	}
-	return j.sum + sum
+	return sum
 }
 
 const (
--- a/brain/port.go
+++ b/brain/port.go
@@ -138,6 +138,7 @@
 		Expires  Micros
 		Work     Micros // expected work, 0: not told
 		Repeat   bool   // the client says that it has tried before
+		Came     Micros // when it came, where it waited before it was handed in; 0: now
 	}
 	// Begun tells that a streamed answer has started.
 	Begun struct{ ID uint64 }
--- a/brain/record.go
+++ b/brain/record.go
@@ -11,7 +11,7 @@
 	say  struct {
 		step  float64 // on failures
 		late  float64 // on lateness
-		least float64 // that lag does not go below
+		least float64 // that its sum does not go below
 		anew  bool
 	} // evidence on its build; or a new stage, where it starts anew
 	turned struct{ peer bool } // a txn was turned away, here or at a peer
@@ -87,7 +87,8 @@
 	limit       float64 // own submissions that it may hold
 	cutAt       Micros
 	errs        float64 // moving share of errors
-	said, late  float64 // what it says against its build in this stage: on failures, 0 at the least, and on lateness
+	fails       float64 // on failures, 0 at the least
+	said, late  float64 // what it says against its build in this stage: on failures, and on lateness
 	spoke       bool
 	lag         float64 // lateness too, with less saved up: what counts where most are late
 	waits, sla  Micros  // no answer since, with submissions out; the SLA time of the last
@@ -182,7 +183,7 @@
 	polling              Polling
 	since                Micros // the stage's start, or this agent's if later
 	seen                 int
-	sum, low             float64    // the ratio of failures, over all of the build; its lowest in this stage
+	sum                  float64    // of failures, over all of the build's appliances
 	good, bad            [2]float64 // the earlier build's outcomes, fading
 	products             []Product
 	bench                []int // the agents who judge for all; none where each judges alone
--- a/charter/charter.go
+++ b/charter/charter.go
@@ -68,6 +68,8 @@
 	seed := f.Seed()
 	f.Settings.Goods()
 	f.Settings.Customers()
+	f.Settings.Shares()
+	f.Settings.Stalls()
 	f.Settings.Zones()
 	f.Settings.Lines()
 	if f.Err() != nil {
@@ -222,6 +224,32 @@
 	return out
 }
 
+// Shares are the customers' told parts of the whole; an even part where none is told.
+func (t *Terms) Shares() []float64 {
+	out := make([]float64, int(t.opt("Parties.count", 0)))
+	for i := range out {
+		if out[i] = t.opt(fmt.Sprintf("Parties.%d.Fraction", i), 1/float64(len(out))); out[i] <= 0 {
+			t.fail(fmt.Sprintf("Parties.%d.Fraction", i), fmt.Sprintf("is %v, no share", out[i]))
+		}
+	}
+	return out
+}
+
+// Stall is what the door knows of a product.
+type Stall struct {
+	SLA     time.Duration
+	Revenue float64
+}
+
+// Stalls are in the order of Goods.
+func (t *Terms) Stalls() []Stall {
+	out := make([]Stall, t.count("Grades.count"))
+	for i := range out {
+		out[i] = Stall{time.Duration(t.ms(grade(i, "SloMs"))) * time.Microsecond, t.num(grade(i, "Worth"))}
+	}
+	return out
+}
+
 func (t *Terms) Zones() []string {
 	zones := t.words("Localities")
 	if len(zones) == 0 {
--- a/cmd/switchfork/main.go
+++ b/cmd/switchfork/main.go
@@ -1,141 +1,98 @@
 // Command switchfork is one agent: it serves clients, sends their txns to appliances and votes on releases as the
-// module decides. It reads what it is told through package charter and runs until SIGTERM;
-// SIGHUP has it read the file again.
+// module decides. It reads what it is told through package charter and what its operator wants through package operator.
+// This file owns the command line; serve.go owns how the parts are put together.
 package main
 
 import (
-	"context"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
-	"math"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"syscall"
-	"time"
 
-	"switchfork/brain"
-	"switchfork/charter"
-	"switchfork/sockets"
+	"github.com/spf13/cobra"
+
+	"switchfork/operator"
 )
 
+// Exit codes: 0, failed, wrong use.
+const failed, wrongUse = 1, 2
+
+// use marks an error of the command line itself.
+type use struct{ error }
+
+// version may be set when the program is linked.
+var version = ""
+
 func main() {
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err := run(); err != nil {
+	err := commands(os.Stdout).Execute()
+	var wrong use
+	switch {
+	case errors.As(err, &wrong):
+		fmt.Fprintln(os.Stderr, "switchfork:", err, "(see switchfork help)")
+		os.Exit(wrongUse)
+	case err != nil:
 		slog.Error("ends", "err", err)
-		os.Exit(1)
+		os.Exit(failed)
 	}
 }
 
-const (
-	// heapPart of the told memory is the collector's limit; the rest is for stacks, buffers and the program.
-	heapPart = 0.7
-	// collectAt: live data is a few MB, so garbage may grow to several times it before it is worth the time.
-	collectAt = 400
-	// ownSockets: listener, peers, list, news and votes, the log and what the runtime holds, with room.
-	ownSockets = 32
-	// backlog is the longest that answers may take after their expiry before a drain gives up.
-	backlog = 500 * time.Millisecond
-)
+func commands(out io.Writer) *cobra.Command {
+	var file string
+	root := &cobra.Command{Use: "switchfork", Short: "txn router and release judge", SilenceUsage: true, SilenceErrors: true,
+		Args: noArgs, RunE: func(*cobra.Command, []string) error { return serve(file) }}
+	root.SetOut(out)
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return use{err} })
+	root.PersistentFlags().StringVar(&file, "operator", os.Getenv("SWITCHFORK_OPERATOR"),
+		"the operator's file; SWITCHFORK_OPERATOR where the flag is not given")
+	root.AddCommand(
+		&cobra.Command{Use: "serve", Short: "serve as an agent, as without any command", Args: noArgs,
+			RunE: func(*cobra.Command, []string) error { return serve(file) }},
+		&cobra.Command{Use: "check FILE", Short: "read an operator's file, print its faults, or the file in force with every default",
+			Args: oneArg, RunE: func(c *cobra.Command, args []string) error { return check(c.OutOrStdout(), args[0]) }},
+		&cobra.Command{Use: "version", Short: "print the version", Args: noArgs, Run: func(c *cobra.Command, _ []string) {
+			fmt.Fprintln(c.OutOrStdout(), "switchfork", release())
+		}})
+	return root
+}
 
-func run() error {
-	hangup := make(chan os.Signal, 1) // taken from here on: one that nobody takes ends the process
-	signal.Notify(hangup, syscall.SIGHUP)
-	file, err := charter.Read(os.Getenv)
-	if err != nil {
-		return err
+func noArgs(c *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return use{fmt.Errorf("%q is no command of %s", args[0], c.CommandPath())}
 	}
-	post, ration, circle, seed := file.Post(), file.Ration(), file.Circle(), file.Seed()
-	goods, customers := file.Settings.Goods(), file.Settings.Customers()
-	zones, lines := file.Settings.Zones(), file.Settings.Lines()
-	if err = file.Err(); err != nil {
-		return err
-	}
-	module, err := file.Settings.Open(seed)
-	if err != nil {
-		return err
-	}
-	runtime.GOMAXPROCS(int(max(1, math.Ceil(ration.Cores))))
-	debug.SetMemoryLimit(int64(heapPart * float64(ration.MemoryMB) * (1 << 20)))
-	debug.SetGCPercent(collectAt)
+	return nil
+}
 
-	var names []string
-	var effects []brain.Effect
-	var expiry []time.Duration
-	longest := time.Duration(0)
-	for _, g := range goods {
-		names, effects, expiry = append(names, g.Name), append(effects, g.Effect), append(expiry, g.Expiry)
-		longest = max(longest, g.Expiry)
+func oneArg(c *cobra.Command, args []string) error {
+	if len(args) != 1 {
+		return use{fmt.Errorf("%s wants one file, not %d", c.CommandPath(), len(args))}
 	}
-	purse := sockets.NewPurse(ration.Sockets - ownSockets)
-	core := sockets.NewCore(module, sockets.NewClock())
-	pool := sockets.NewPool(lines.Dial, lines.Idle, lines.Report, purse)
-	roster := sockets.NewRoster(core, post.Discovery, zones, lines.Dial)
-	launcher := sockets.NewLauncher(core, post.Launcher, lines.Dial, lines.Call)
-	peers, err := sockets.NewPeers(core, circle.Listen, circle.Peers, circle.All)
-	if err != nil {
-		return err
-	}
-	front := sockets.NewFront(core, names, effects, expiry, customers, lines.OpenCap, lines.HoldOff, purse)
+	return nil
+}
 
-	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	ctx, end := context.WithCancel(context.Background())
-	defer end()
-	if err = roster.Known(file.Known); err != nil {
-		return err
-	}
-	if err = launcher.Known(file.News); err != nil {
+// check prints what would be in force.
+func check(out io.Writer, path string) error {
+	orders, err := operator.Read(path)
+	if err != nil {
 		return err
 	}
-	go core.Serve(ctx, pool, launcher, peers)
-	core.Settle(ctx) // no txn before the list and the news
-	go roster.Serve(ctx)
-	go launcher.Serve(ctx)
-	go peers.Serve(ctx)
-	if err = front.Listen(post.Listen); err != nil {
-		return fmt.Errorf("setting config.listen: %w", err)
-	}
-	go func() {
-		for range hangup {
-			file = reload(file, roster, launcher)
-		}
-	}()
-	slog.Info("serves", "agent", post.Name, "listen", post.Listen)
-	served := make(chan error, 1)
-	go func() { served <- front.Serve() }()
-	select {
-	case err = <-served:
-		return fmt.Errorf("serving clients: %w", err)
-	case <-stopped.Done():
-	}
-	slog.Info("drains")
-	wait, cancel := context.WithTimeout(ctx, longest+time.Second+backlog)
-	defer cancel()
-	if err = front.Drain(wait); err != nil {
-		slog.Warn("drained with txns open", "err", err)
-	}
-	slog.Info("ended")
+	orders.Write(out)
 	return nil
 }
 
-// reload hands on what the file has changed that may change at work; a faulty file leaves all as it is.
-func reload(file *charter.File, roster *sockets.Roster, launcher *sockets.Launcher) *charter.File {
-	next, moved, left, err := file.Reread()
-	if err != nil {
-		slog.Error("reload: the old stays in force", "err", err)
-		return file
+// release is the version that was linked in, or the commit that the program was built from.
+func release() string {
+	if version != "" {
+		return version
 	}
-	slog.Info("reload", "discovery", moved.Discovery, "platform.address", moved.Launcher)
-	if len(left) > 0 {
-		slog.Warn("reload: other keys need a restart", "keys", left)
-	}
-	if moved.Discovery != "" {
-		roster.Move(moved.Discovery)
-	}
-	if moved.Launcher != "" {
-		launcher.Move(moved.Launcher)
+	if info, is := debug.ReadBuildInfo(); is {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value
+			}
+		}
+		return info.Main.Version
 	}
-	return next
+	return "unknown"
 }
--- /dev/null
+++ b/cmd/switchfork/serve.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"switchfork/brain"
+	"switchfork/charter"
+	"switchfork/door"
+	"switchfork/operator"
+	"switchfork/sockets"
+)
+
+// This file owns how an agent's parts are put together, its drain and its reload. It decides nothing about txns.
+
+const (
+	// heapPart of the told memory is the collector's limit; the rest is for stacks, buffers and the program.
+	heapPart = 0.7
+	// collectAt: live data is a few MB, so garbage may grow to several times it before it is worth the time.
+	collectAt = 400
+	// ownSockets: listener, peers, list, news and votes, the log and what the runtime holds, with room.
+	ownSockets = 32
+	// backlog is the longest that answers may take after their expiry before a drain gives up.
+	backlog = 500 * time.Millisecond
+)
+
+// serve is an agent's life.
+func serve(operatorFile string) error {
+	hangup := make(chan os.Signal, 1) // taken from here on: one that nobody takes ends the process
+	signal.Notify(hangup, syscall.SIGHUP)
+	orders := operator.Defaults()
+	if operatorFile != "" {
+		var err error
+		if orders, err = operator.Read(operatorFile); err != nil {
+			return err
+		}
+	}
+	logTo(orders.Log)
+	file, err := charter.Read(os.Getenv)
+	if err != nil {
+		return err
+	}
+	post, ration, circle, seed := file.Post(), file.Ration(), file.Circle(), file.Seed()
+	goods, customers := file.Settings.Goods(), file.Settings.Customers()
+	shares, stalls := file.Settings.Shares(), file.Settings.Stalls()
+	zones, lines := file.Settings.Zones(), file.Settings.Lines()
+	if err = file.Err(); err != nil {
+		return err
+	}
+	module, err := file.Settings.Open(seed)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(int(max(1, math.Ceil(ration.Cores))))
+	debug.SetMemoryLimit(int64(heapPart * float64(ration.MemoryMB) * (1 << 20)))
+	debug.SetGCPercent(collectAt)
+
+	var names []string
+	var effects []brain.Effect
+	var expiry []time.Duration
+	longest := time.Duration(0)
+	for _, g := range goods {
+		names, effects, expiry = append(names, g.Name), append(effects, g.Effect), append(expiry, g.Expiry)
+		longest = max(longest, g.Expiry)
+	}
+	purse := sockets.NewPurse(ration.Sockets - ownSockets)
+	clock := sockets.NewClock()
+	core := sockets.NewCore(module, clock)
+	pool := sockets.NewPool(lines.Dial, lines.Idle, lines.Report, purse)
+	roster := sockets.NewRoster(core, post.Discovery, zones, lines.Dial)
+	launcher := sockets.NewLauncher(core, post.Launcher, lines.Dial, lines.Call)
+	peers, err := sockets.NewPeers(core, circle.Listen, circle.Peers, circle.All)
+	if err != nil {
+		return err
+	}
+	front := sockets.NewFront(core, names, effects, expiry, customers, lines.OpenCap, lines.HoldOff, purse)
+	var gate *sockets.Gate
+	if orders.Door.On {
+		gate = sockets.NewGate(open(orders.Door, goods, stalls, customers, shares, lines, ration, purse, seed), clock, core)
+		front.Behind(gate, sockets.WhoAsks{Header: orders.Door.Header, Connection: orders.Door.Client == "connection"})
+	}
+	for _, name := range orders.Strangers(customers) {
+		slog.Warn("operator's file names a tenant that was not told", "tenant", name)
+	}
+
+	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	if err = roster.Known(file.Known); err != nil {
+		return err
+	}
+	if err = launcher.Known(file.News); err != nil {
+		return err
+	}
+	go core.Serve(ctx, pool, launcher, peers)
+	core.Settle(ctx) // no txn before the list and the news
+	go roster.Serve(ctx)
+	go launcher.Serve(ctx)
+	go peers.Serve(ctx)
+	if gate != nil {
+		go gate.Serve(ctx)
+	}
+	if err = front.Listen(post.Listen); err != nil {
+		return fmt.Errorf("setting config.listen: %w", err)
+	}
+	go func() {
+		for range hangup {
+			file = reload(file, roster, launcher)
+			orders = reorder(orders, customers, shares, gate)
+		}
+	}()
+	slog.Info("serves", "agent", post.Name, "listen", post.Listen)
+	served := make(chan error, 1)
+	go func() { served <- front.Serve() }()
+	select {
+	case err = <-served:
+		return fmt.Errorf("serving clients: %w", err)
+	case <-stopped.Done():
+	}
+	slog.Info("drains")
+	wait, cancel := context.WithTimeout(ctx, longest+time.Second+backlog)
+	defer cancel()
+	if err = front.Drain(wait); err != nil {
+		slog.Warn("drained with txns open", "err", err)
+	}
+	if gate != nil {
+		gate.Close(wait)
+	}
+	slog.Info("ended")
+	return nil
+}
+
+// reload hands on what the file has changed that may change at work; a faulty file leaves all as it is.
+func reload(file *charter.File, roster *sockets.Roster, launcher *sockets.Launcher) *charter.File {
+	next, moved, left, err := file.Reread()
+	if err != nil {
+		slog.Error("reload: the old stays in force", "err", err)
+		return file
+	}
+	slog.Info("reload", "discovery", moved.Discovery, "platform.address", moved.Launcher)
+	if len(left) > 0 {
+		slog.Warn("reload: other keys need a restart", "keys", left)
+	}
+	if moved.Discovery != "" {
+		roster.Move(moved.Discovery)
+	}
+	if moved.Launcher != "" {
+		launcher.Move(moved.Launcher)
+	}
+	return next
+}
+
+// open makes the door that the operator asks for.
+func open(keep operator.DoorKeeping, goods []charter.Good, stalls []charter.Stall, customers []string, shares []float64,
+	lines charter.Lines, ration charter.Ration, purse *sockets.Purse, seed uint64) *door.Door {
+	var products []door.Product
+	for i, g := range goods {
+		products = append(products, door.Product{SLA: stalls[i].SLA.Microseconds(), Expiry: g.Expiry.Microseconds(),
+			Revenue: stalls[i].Revenue, Referenced: g.Effect == brain.Referenced})
+	}
+	room := door.RoomOf(ration.MemoryMB, min(lines.OpenCap, purse.Txns()), keep.Queues)
+	if keep.Txns > 0 {
+		room.Txns = min(room.Txns, keep.Txns)
+	}
+	if keep.Bytes > 0 {
+		room.Bytes = keep.Bytes
+	}
+	waits := door.Waits{}
+	if keep.ComeBack {
+		waits.Most = lines.HoldOff.Microseconds()
+	}
+	slog.Info("door", "txns", room.Txns, "kib", room.Bytes>>10, "queues", room.Queues, "tenants", len(customers))
+	return door.New(products, weights(keep, customers, shares), room, waits, keep.SameAnswer, int64(seed))
+}
+
+// weights are the told shares, or what the operator has put in their place.
+func weights(keep operator.DoorKeeping, customers []string, shares []float64) (out []door.Tenant) {
+	for i, name := range customers {
+		w := shares[i]
+		if own, is := keep.Shares[name]; is {
+			w = own
+		}
+		out = append(out, door.Tenant{Weight: w})
+	}
+	return out
+}
+
+// logTo puts the log's level and form in force.
+func logTo(book operator.LogBook) {
+	var level slog.Level
+	level.UnmarshalText([]byte(book.Level))
+	how := &slog.HandlerOptions{Level: level}
+	if book.Form == "json" {
+		slog.SetDefault(slog.New(slog.NewJSONHandler(os.Stderr, how)))
+	} else {
+		slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, how)))
+	}
+}
+
+// reorder reads the operator's file again: log and shares take effect at once, other keywords need a restart, and a faulty
+// file changes nothing.
+func reorder(now *operator.Orders, customers []string, shares []float64, gate *sockets.Gate) *operator.Orders {
+	if now.Path == "" {
+		return now
+	}
+	next, err := operator.Read(now.Path)
+	if err != nil {
+		slog.Error("operator's file: the old stays in force", "err", err)
+		return now
+	}
+	logTo(next.Log)
+	if gate != nil {
+		gate.Reshare(weights(next.Door, customers, shares))
+	}
+	if left := now.Differs(next); len(left) > 0 {
+		slog.Warn("operator's file: other keywords need a restart", "keywords", left)
+	}
+	slog.Info("operator's file read again", "file", next.Path)
+	return next
+}
--- /dev/null
+++ b/door/door.go
@@ -0,0 +1,636 @@
+// Package door holds every decision of who goes in to the module and when: fairness among tenants and among a tenant's
+// clients, how many may be in at a time, who has to go when there is no room, and when those who are turned away should
+// come back. It owns the txns that wait and the promises given; it must never route a txn or look at an answer's content.
+//
+// Use: make one Door an agent with New, tell it what happens with the clock in whole microseconds, and carry out the
+// orders that each call returns before the next one; they stand in a slice that the next call uses again. A Door does no
+// I/O, reads no clock and starts no goroutine; the same calls give the same orders.
+package door
+
+import (
+	"container/heap"
+	"math"
+	"math/rand"
+)
+
+// Micros is a time or a span in whole microseconds.
+type Micros = int64
+
+const (
+	ms     Micros = 1000
+	second        = 1000 * ms
+)
+
+// Product is what the door knows of a kind of txn.
+type Product struct {
+	SLA, Expiry Micros
+	Revenue     float64
+	Referenced  bool // its key marks the repeats of one txn
+}
+
+// Tenant is a customer with its share of the whole.
+type Tenant struct{ Weight float64 }
+
+// Room is what may be kept at a time, waiting or in; Queues is how many each tenant's clients are spread over.
+type Room struct {
+	Txns   int
+	Bytes  int64
+	Queues int
+}
+
+// RoomOf works out the bounds from the memory that the agent may use and the places that it has for clients.
+func RoomOf(memoryMB, places, queues int) Room {
+	memory := int64(memoryMB) << 20
+	return Room{Txns: max(1, min(places, int(memory/memoryPart/ticketBytes))), Bytes: memory / memoryPart / 2, Queues: queues}
+}
+
+// memoryPart of the memory is for those at the door and in; half of that for what they send. ticketBytes is what a txn
+// holds beside it: two goroutines and their buffers, measured at 14 KiB on loopback.
+const memoryPart, ticketBytes = 4, 20 << 10
+
+// Waits are the told limits of come-back times; Most 0: clients are told none.
+type Waits struct{ Most Micros }
+
+// Arrival is a txn at the door.
+type Arrival struct {
+	ID      uint64
+	Tenant  int    // its index; one that was not told counts with all others of that sort
+	Client  uint64 // who asks, hashed
+	Product int
+	Key     uint64 // the reference or the thing it concerns, hashed with nothing else; 0: none
+	Repeat  bool   // marked as a client's next try
+	Work    Micros // the told hint; 0: none
+	Expires Micros
+	Bytes   int
+}
+
+// How an admitted txn ended.
+type How int
+
+const (
+	Settled  How = iota
+	Declined     // the module had no way for it
+	Voided
+	Left // its client has gone
+)
+
+// Kind of an order.
+type Kind int
+
+const (
+	Admit  Kind = iota // hand it to the module
+	Refuse             // tell the client to come back after Wait
+	Share              // it gets the answer of First, which is in
+)
+
+// Why a txn is refused.
+type Why int
+
+const (
+	NoReason  Why = iota
+	TooLate       // it would not get in in time
+	NoRoom        // the bound is reached, and its tenant is furthest over its share
+	Replaced      // its own next try has taken its place
+	Draining      // the agent ends
+	whyNumber     // how many there are
+)
+
+func (w Why) String() string {
+	return [...]string{"none", "too late", "no room", "replaced", "draining"}[w]
+}
+
+// Order is what is to be done with one txn.
+type Order struct {
+	Kind  Kind
+	ID    uint64
+	First uint64 // of a Share
+	Wait  Micros // of a Refuse; 0: no advice
+	Why   Why
+}
+
+// state of a ticket.
+type state int8
+
+const (
+	waiting state = iota
+	behind        // it waits for its first try, which is in
+	in
+)
+
+// ticket is the one record of a txn that the door knows.
+type ticket struct {
+	Arrival
+	state    state
+	who      uint64 // what its next try will be known by
+	cost     float64
+	came     Micros // the first try's coming, where it took over a place
+	giveUp   Micros // it is refused then
+	entered  Micros
+	due      int // its place among those with a giveUp; -1: none
+	tenant   *tenant
+	queue    *queue
+	lane     int
+	prev     *ticket
+	next     *ticket
+	follower *ticket // its next try, while this one is in
+	first    *ticket // the other way round
+	sent     bool
+	sentAt   Micros
+}
+
+// Door decides; see the package.
+type Door struct {
+	now      Micros
+	products []Product
+	rank     []int // of a product: 0 the dearest
+	lanes    int
+	tenants  []*tenant
+	fair     level
+	room     Room
+	waits    Waits
+	shared   bool // a next try gets the first one's answer
+	salt     uint64
+	chance   *rand.Rand
+	tickets  map[uint64]*ticket
+	tries    map[uint64]*ticket // by who
+	spare    *ticket            // records to use again, linked by next
+	dues     dues
+	out      []Order
+	waitN    int
+	inN      int
+	inCost   float64
+	took     float64 // the mean time from going in to the answer
+	wanted   Micros  // since when somebody waits; -1: nobody does
+	bytes    int64
+	limit    limit
+	usual    []float64 // mean work by product
+	flow     flow
+	until    Micros // the drain's end; 0: none
+	promises book
+	Count    Count
+}
+
+// Count is what has happened since the start; it decides nothing.
+type Count struct {
+	Arrived, Admitted, Joined, Shared uint64
+	Refused                           [whyNumber]uint64
+	Promised, Kept, Broken, Unclaimed uint64
+	Early                             uint64
+}
+
+// New makes a door. shares are by tenant index, one more stands for all that were not told. shared: a next try that
+// comes while its first is in is given that one's answer instead of waiting for it.
+func New(products []Product, shares []Tenant, room Room, waits Waits, shared bool, seed int64) *Door {
+	d := &Door{products: products, room: room, waits: waits, shared: shared, chance: rand.New(rand.NewSource(seed)),
+		tickets: map[uint64]*ticket{}, tries: map[uint64]*ticket{}, usual: make([]float64, len(products))}
+	d.salt = d.chance.Uint64()
+	d.rank, d.lanes = ranks(products)
+	for i, p := range products {
+		d.usual[i] = float64(p.SLA) / usualPart
+		d.took = max(d.took, d.usual[i])
+	}
+	d.room.Txns, d.room.Queues = max(1, room.Txns), max(1, room.Queues)
+	d.limit, d.wanted = newLimit(float64(d.room.Txns)), -1
+	d.fair.init(len(shares) + 1)
+	for i := 0; i <= len(shares); i++ {
+		t := &tenant{weight: strangers}
+		if i < len(shares) {
+			t.weight = max(shares[i].Weight, 1e-6)
+		}
+		t.flow.item, t.flow.place = t, -1
+		t.queues.init(d.room.Queues)
+		t.all = make([]queue, d.room.Queues)
+		d.tenants = append(d.tenants, t)
+	}
+	d.promises.init(d.room.Txns, len(d.tenants), waits.Most)
+	return d
+}
+
+const (
+	// strangers is the weight of all tenants together that were not told, beside told shares that add up to about one.
+	strangers = 0.05
+	// usualPart of the SLA time is a txn's work until some have been seen.
+	usualPart = 8
+	// usualFade: the mean work of a product looks back over some fifty txns. leastHint: a hint counts for no less than
+	// this part of it, so that who says that all its txns are small gains four times its share at the most.
+	usualFade, leastHint = 0.02, 0.25
+	// waitPart of its SLA time is the longest that a txn waits here: the rest is for its work, and for the module to
+	// find it a way.
+	waitPart = 0.5
+)
+
+// Arrive takes a txn to the door.
+func (d *Door) Arrive(now Micros, a Arrival) []Order {
+	d.begin(now)
+	d.Count.Arrived++
+	if a.Work > 0 {
+		d.usual[a.Product] += (float64(a.Work) - d.usual[a.Product]) * usualFade
+	}
+	if a.Tenant < 0 || a.Tenant >= len(d.tenants) {
+		a.Tenant = len(d.tenants) - 1
+	}
+	t := d.take(a)
+	if d.join(t) {
+		d.fit()
+		return d.flush()
+	}
+	d.tries[t.who] = t
+	promised := d.promises.claim(d, t)
+	d.line(t)
+	switch {
+	case promised == onTime && d.inN < d.limit.most()+d.limit.reserve():
+		// Its place was booked ahead, so it goes in before those who wait; its tenant pays as for any other.
+		d.Count.Kept++
+		d.unline(t)
+		d.pay(t)
+		d.admit(t)
+	case promised == onTime:
+		d.Count.Broken++
+		fallthrough
+	default:
+		d.enter()
+		if t.state != waiting {
+			break
+		}
+		if wait := d.ahead(t); d.now+wait > t.giveUp || d.until > 0 && d.now+wait > d.until {
+			d.refuse(t, TooLate)
+		}
+	}
+	d.fit()
+	return d.flush()
+}
+
+// fit holds the bound.
+func (d *Door) fit() {
+	for d.waitN+d.inN > d.room.Txns || d.bytes > d.room.Bytes {
+		last := d.over()
+		if last == nil && len(d.dues) > 0 {
+			last = d.dues[len(d.dues)-1] // only next tries are left, behind first ones that are in
+		}
+		if last == nil {
+			return
+		}
+		d.refuse(last, NoRoom)
+	}
+}
+
+// Sent tells that the module has found a way for a txn: until then it waits in there.
+func (d *Door) Sent(now Micros, id uint64) []Order {
+	d.begin(now)
+	if t := d.tickets[id]; t != nil && t.state == in && !t.sent {
+		t.sent, t.sentAt = true, now
+		d.limit.sent(now-t.entered, d.inN)
+	}
+	return d.flush()
+}
+
+// Ended tells that an admitted txn has its answer, or that nobody waits for one; nothing of it is out any more.
+func (d *Door) Ended(now Micros, id uint64, how How) []Order {
+	d.begin(now)
+	t := d.tickets[id]
+	if t == nil || t.state != in {
+		return d.Gone(now, id)
+	}
+	d.inN--
+	took := now - t.entered
+	work := took
+	if t.sent {
+		work = now - t.sentAt
+	}
+	d.limit.ended(now, work, how, t.sent, d.inN+1)
+	d.inCost -= t.cost
+	if how == Settled {
+		if usual := &d.usual[t.Product]; t.Work == 0 {
+			*usual += (float64(took) - *usual) * usualFade
+		}
+		d.took += (float64(took) - d.took) * usualFade
+	}
+	if f := t.follower; f != nil { // its first try is over: it goes next, in that one's place
+		t.follower, f.first = nil, nil
+		f.state, f.cost = waiting, d.price(f)
+		d.waitN--
+		d.line(f)
+		d.tries[f.who] = f
+	}
+	d.drop(t)
+	d.enter()
+	return d.flush()
+}
+
+// Gone tells that a client of a txn that waits has left. One that is in ends with Ended.
+func (d *Door) Gone(now Micros, id uint64) []Order {
+	d.begin(now)
+	if t := d.tickets[id]; t != nil && t.state != in {
+		d.leave(t)
+		d.drop(t)
+		d.enter()
+	}
+	return d.flush()
+}
+
+// Bell is to be called at the time that Next gave, or later.
+func (d *Door) Bell(now Micros) []Order {
+	d.begin(now)
+	for len(d.dues) > 0 && d.dues[0].giveUp <= now {
+		d.refuse(d.dues[0], TooLate)
+	}
+	if d.until > 0 && now >= d.until {
+		for len(d.dues) > 0 {
+			d.refuse(d.dues[0], Draining)
+		}
+	}
+	d.promises.sweep(d)
+	d.limit.tick(now, d.waitN > 0, d.inN)
+	d.enter()
+	return d.flush()
+}
+
+// beatEvery: the limit's rounds are looked at so often while anything waits: well inside any SLA time.
+const beatEvery = 10 * ms
+
+// Next is when the door wants a Bell; 0: not before something happens.
+func (d *Door) Next() Micros {
+	next := Micros(0)
+	sooner := func(at Micros) {
+		if at > 0 && (next == 0 || at < next) {
+			next = at
+		}
+	}
+	if len(d.dues) > 0 {
+		sooner(min(d.dues[0].giveUp, d.now+beatEvery))
+		sooner(d.until)
+	}
+	sooner(d.promises.next())
+	return next
+}
+
+// Drain: the agent ends at the time until. Who will not get in before it is told so at once, here and on arrival.
+func (d *Door) Drain(now, until Micros) []Order {
+	d.begin(now)
+	d.until = max(until, 1)
+	for i := len(d.dues) - 1; i >= 0; i-- {
+		if i < len(d.dues) && d.dues[i].giveUp > until {
+			d.dues[i].giveUp = until
+			heap.Fix(&d.dues, i)
+		}
+	}
+	return d.flush()
+}
+
+// Reshare puts other weights in force; tenants keep their order.
+func (d *Door) Reshare(shares []Tenant) {
+	for i, s := range shares {
+		if i < len(d.tenants)-1 {
+			d.tenants[i].weight = max(s.Weight, 1e-6)
+		}
+	}
+}
+
+// State is what is in hand now, for figures and logs.
+type State struct {
+	Waiting, In, Promises int
+	Limit                 float64
+	Bytes                 int64
+}
+
+func (d *Door) State() State {
+	return State{d.waitN, d.inN, d.promises.n, d.limit.now, d.bytes}
+}
+
+// Line is a tenant's part of the state.
+type Line struct {
+	Waiting int
+	Cost    float64
+	Served  float64 // work admitted since the start, in microseconds
+	Booked  float64 // work promised a time that has not come
+}
+
+func (d *Door) Line(tenant int) Line {
+	t := d.tenants[tenant]
+	return Line{t.n, t.cost, t.served, d.promises.ahead(tenant, d.now)}
+}
+
+func (d *Door) begin(now Micros) { d.now, d.out = max(d.now, now), d.out[:0] }
+
+func (d *Door) flush() []Order {
+	if d.waitN == 0 {
+		d.wanted = -1
+	} else if d.wanted < 0 {
+		d.wanted = d.now
+	}
+	return d.out
+}
+
+// take makes the record of an arrival.
+func (d *Door) take(a Arrival) *ticket {
+	t := d.spare
+	if t != nil {
+		d.spare = t.next
+	} else {
+		t = new(ticket)
+	}
+	*t = ticket{Arrival: a, came: d.now, due: -1, tenant: d.tenants[a.Tenant], lane: d.rank[a.Product]}
+	t.who = d.whoOf(&a)
+	t.cost = d.price(t)
+	t.giveUp = min(t.came+Micros(waitPart*float64(d.products[a.Product].SLA)), a.Expires)
+	if d.until > 0 {
+		t.giveUp = min(t.giveUp, max(d.until, d.now))
+	}
+	d.tickets[a.ID] = t
+	d.bytes += int64(a.Bytes)
+	return t
+}
+
+// whoOf is what the next try of a txn is known by: the reference that it carries, else what it concerns and who asks.
+// Without either it is not known: each of a client's txns is then its own.
+func (d *Door) whoOf(a *Arrival) uint64 {
+	h := mix(d.salt ^ uint64(a.Tenant)<<32 ^ uint64(a.Product))
+	switch {
+	case a.Key != 0 && d.products[a.Product].Referenced:
+		return mix(h ^ a.Key)
+	case a.Key != 0:
+		return mix(mix(h^a.Key) + a.Client)
+	}
+	return mix(mix(h) + a.Client)
+}
+
+// price is the work that a txn is charged: its hint, or the mean of its product.
+func (d *Door) price(t *ticket) float64 {
+	usual := max(d.usual[t.Product], 1)
+	if t.Work > 0 {
+		return max(float64(t.Work), leastHint*usual)
+	}
+	return usual
+}
+
+// join puts a next try into its first one's place. While that one waits, it takes over the place, and the first is told
+// so; while it is in, nothing may be sent twice: the next try waits for its end. Inquiry-like txns on one thing are many
+// clients' own, so they join only where the client says that it is a next try.
+func (d *Door) join(t *ticket) bool {
+	first := d.tries[t.who]
+	if first == nil || t.Key == 0 || !t.Repeat && !d.products[t.Product].Referenced {
+		return false
+	}
+	d.Count.Joined++
+	switch first.state {
+	case waiting:
+		t.came, t.giveUp = first.came, min(max(first.giveUp, first.came), t.Expires)
+		d.swap(first, t)
+		d.tries[t.who] = t
+		d.say(Order{Kind: Refuse, ID: first.ID, Why: Replaced})
+		d.forget(first)
+	case behind, in:
+		for first.state == behind {
+			first = first.first
+		}
+		if old := first.follower; old != nil { // a third try: the second has its answer
+			d.refuse(old, Replaced)
+		}
+		if d.shared {
+			d.Count.Shared++
+			d.say(Order{Kind: Share, ID: t.ID, First: first.ID})
+			d.bytes -= int64(t.Bytes)
+			delete(d.tickets, t.ID)
+			d.recycle(t)
+			return true
+		}
+		first.follower, t.first, t.state = t, first, behind
+		t.giveUp = t.Expires
+		if d.until > 0 {
+			t.giveUp = min(t.giveUp, d.until)
+		}
+		d.waitN++
+		heap.Push(&d.dues, t)
+	}
+	return true
+}
+
+// enter lets in as many as may be, the one whose turn it is first.
+func (d *Door) enter() {
+	for d.inN < d.limit.most() {
+		t := d.turn()
+		if t == nil {
+			return
+		}
+		d.admit(t)
+	}
+}
+
+func (d *Door) admit(t *ticket) {
+	t.state, t.entered = in, d.now
+	d.inN, d.inCost = d.inN+1, d.inCost+t.cost
+	d.Count.Admitted++
+	d.flow.add(d.now, t.cost)
+	d.say(Order{Kind: Admit, ID: t.ID})
+}
+
+// refuse turns a txn away that waits, and tells when to come back.
+func (d *Door) refuse(t *ticket, why Why) {
+	d.leave(t)
+	wait := Micros(0)
+	if why == TooLate || why == NoRoom {
+		wait = d.promises.give(d, t)
+	}
+	d.say(Order{Kind: Refuse, ID: t.ID, Wait: wait, Why: why})
+	d.drop(t)
+}
+
+// leave takes a ticket out of where it waits.
+func (d *Door) leave(t *ticket) {
+	switch t.state {
+	case waiting:
+		d.unline(t)
+	case behind:
+		t.first.follower = nil
+		t.first = nil
+		d.waitN--
+		if t.due >= 0 {
+			heap.Remove(&d.dues, t.due)
+		}
+	}
+}
+
+// drop ends a ticket that is nowhere any more.
+func (d *Door) drop(t *ticket) {
+	if d.tries[t.who] == t {
+		delete(d.tries, t.who)
+	}
+	d.forget(t)
+}
+
+func (d *Door) forget(t *ticket) {
+	d.bytes -= int64(t.Bytes)
+	delete(d.tickets, t.ID)
+	d.recycle(t)
+}
+
+func (d *Door) recycle(t *ticket) {
+	*t = ticket{next: d.spare}
+	d.spare = t
+}
+
+func (d *Door) say(o Order) {
+	if o.Kind == Refuse {
+		d.Count.Refused[o.Why]++
+	}
+	d.out = append(d.out, o)
+}
+
+// mix spreads a number over 64 bits (the finaliser of splitmix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// dues are the tickets that wait, by the time at which they give up.
+type dues []*ticket
+
+func (h dues) Len() int           { return len(h) }
+func (h dues) Less(i, j int) bool { return h[i].giveUp < h[j].giveUp }
+func (h dues) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].due, h[j].due = i, j
+}
+func (h *dues) Push(x any) {
+	t := x.(*ticket)
+	t.due = len(*h)
+	*h = append(*h, t)
+}
+func (h *dues) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	t.due = -1
+	*h = old[:len(old)-1]
+	return t
+}
+
+// flow measures the work let in.
+type flow struct {
+	at   Micros
+	rate float64 // work a microsecond
+}
+
+// flowSpan: long enough that single txns don't move it, short enough to follow a fleet that slows down.
+const flowSpan = 1 * second
+
+func (f *flow) add(now Micros, cost float64) {
+	f.rate = f.per(now) + cost/float64(flowSpan)
+	f.at = now
+}
+
+func (f *flow) per(now Micros) float64 {
+	return f.rate * math.Exp(-float64(now-f.at)/float64(flowSpan))
+}
+
+// pace is the work a microsecond that goes in while all is wanted: what was let in of late, or, where nothing has waited
+// for long and so less was let in than could be, what is in over the time that it takes.
+func (d *Door) pace() float64 {
+	pace := d.flow.per(d.now)
+	if d.wanted < 0 || d.now-d.wanted < flowSpan {
+		pace = max(pace, d.inCost/max(d.took, 1))
+	}
+	return max(pace, 1e-9)
+}
--- /dev/null
+++ b/door/fair.go
@@ -0,0 +1,310 @@
+package door
+
+import "container/heap"
+
+// This file owns the order in which txns go in: start-time fair queueing among tenants, and within a tenant among a
+// fixed number of queues that its clients are spread over. A flow's start is the later of the level's present and its own
+// last finish, so that an idle one saves up nothing; the lowest start goes next, and pays its work over its weight.
+
+// flowOf is a tenant, or a queue of one, as its level sees it.
+type flowOf struct {
+	start, finish float64
+	place         int // in the heap of those who have something; -1: has nothing
+	item          any
+}
+
+// level is one level of fairness.
+type level struct {
+	present float64
+	active  []*flowOf
+}
+
+func (l *level) init(most int) { l.active = make([]*flowOf, 0, min(most, 64)) }
+
+func (l *level) Len() int           { return len(l.active) }
+func (l *level) Less(i, j int) bool { return l.active[i].start < l.active[j].start }
+func (l *level) Swap(i, j int) {
+	a := l.active
+	a[i], a[j] = a[j], a[i]
+	a[i].place, a[j].place = i, j
+}
+func (l *level) Push(x any) {
+	f := x.(*flowOf)
+	f.place = len(l.active)
+	l.active = append(l.active, f)
+}
+func (l *level) Pop() any {
+	f := l.active[len(l.active)-1]
+	l.active = l.active[:len(l.active)-1]
+	f.place = -1
+	return f
+}
+
+// wake puts a flow among those that have something.
+func (l *level) wake(f *flowOf) {
+	f.start = max(l.present, f.finish)
+	heap.Push(l, f)
+}
+
+// pay charges a flow whose txn goes in; more: it has another one.
+func (l *level) pay(f *flowOf, cost float64, more bool) {
+	if f.place >= 0 {
+		l.present = max(l.present, f.start)
+		f.finish = f.start + cost
+	} else {
+		f.finish = max(l.present, f.finish) + cost
+	}
+	switch {
+	case f.place >= 0 && more:
+		f.start = f.finish
+		heap.Fix(l, f.place)
+	case f.place >= 0:
+		heap.Remove(l, f.place)
+	}
+}
+
+// sleep takes a flow out that has nothing left, without pay.
+func (l *level) sleep(f *flowOf) {
+	if f.place >= 0 {
+		heap.Remove(l, f.place)
+	}
+}
+
+// tenant is the one record of a customer.
+type tenant struct {
+	flow   flowOf
+	weight float64
+	queues level
+	all    []queue
+	n      int     // of its txns that wait
+	cost   float64 // their work
+	served float64
+}
+
+// queue is the one record of a queue; its lanes hold dearer products first.
+type queue struct {
+	flow  flowOf
+	lanes []lane
+	n     int
+	cost  float64
+}
+
+type lane struct{ head, tail *ticket }
+
+// hands is how many of its tenant's queues a client may be put into; it is put into the shortest of them. Of two clients
+// few have all of them in common, so that one who floods spoils hardly anybody's, and holds four queues at the most.
+const hands = 4
+
+// place is the queue for a txn of a client.
+func (d *Door) place(t *ticket) *queue {
+	all := t.tenant.all
+	var best *queue
+	h := mix(d.salt ^ t.Client)
+	for i := 0; i < hands; i++ {
+		q := &all[h%uint64(len(all))]
+		if best == nil || q.cost < best.cost {
+			best = q
+		}
+		h = mix(h)
+	}
+	if best.lanes == nil {
+		best.lanes = make([]lane, d.lanes)
+		best.flow.place, best.flow.item = -1, best
+	}
+	return best
+}
+
+// line puts a ticket at the end of a queue.
+func (d *Door) line(t *ticket) {
+	t.state = waiting
+	if t.queue == nil {
+		t.queue = d.place(t)
+	}
+	q, te := t.queue, t.tenant
+	l := &q.lanes[t.lane]
+	if t.prev = l.tail; l.tail != nil {
+		l.tail.next = t
+	} else {
+		l.head = t
+	}
+	l.tail, t.next = t, nil
+	if q.n == 0 {
+		te.queues.wake(&q.flow)
+	}
+	if te.n == 0 {
+		d.fair.wake(&te.flow)
+	}
+	q.n, q.cost = q.n+1, q.cost+t.cost
+	te.n, te.cost = te.n+1, te.cost+t.cost
+	d.waitN++
+	if t.due < 0 {
+		heap.Push(&d.dues, t)
+	}
+}
+
+// unlink takes a ticket out of its lane and the counts, and leaves the flows as they are.
+func (d *Door) unlink(t *ticket) {
+	q, te := t.queue, t.tenant
+	l := &q.lanes[t.lane]
+	if t.prev != nil {
+		t.prev.next = t.next
+	} else {
+		l.head = t.next
+	}
+	if t.next != nil {
+		t.next.prev = t.prev
+	} else {
+		l.tail = t.prev
+	}
+	t.prev, t.next = nil, nil
+	q.n, te.n = q.n-1, te.n-1
+	q.cost, te.cost = q.cost-t.cost, te.cost-t.cost
+	if q.n == 0 {
+		q.cost = 0
+	}
+	if te.n == 0 {
+		te.cost = 0
+	}
+	d.waitN--
+	if t.due >= 0 {
+		heap.Remove(&d.dues, t.due)
+	}
+}
+
+// unline takes a ticket that waits out of all; nobody pays.
+func (d *Door) unline(t *ticket) {
+	d.unlink(t)
+	if t.queue.n == 0 {
+		t.tenant.queues.sleep(&t.queue.flow)
+	}
+	if t.tenant.n == 0 {
+		d.fair.sleep(&t.tenant.flow)
+	}
+}
+
+// swap puts a ticket into another's place.
+func (d *Door) swap(old, t *ticket) {
+	t.queue, t.lane, t.prev, t.next = old.queue, old.lane, old.prev, old.next
+	l := &t.queue.lanes[t.lane]
+	if t.prev != nil {
+		t.prev.next = t
+	} else {
+		l.head = t
+	}
+	if t.next != nil {
+		t.next.prev = t
+	} else {
+		l.tail = t
+	}
+	t.queue.cost += t.cost - old.cost
+	t.tenant.cost += t.cost - old.cost
+	heap.Remove(&d.dues, old.due)
+	heap.Push(&d.dues, t)
+}
+
+// turn takes out the ticket whose turn it is; its flows pay.
+func (d *Door) turn() *ticket {
+	if len(d.fair.active) == 0 {
+		return nil
+	}
+	te := d.fair.active[0].item.(*tenant)
+	q := te.queues.active[0].item.(*queue)
+	var t *ticket
+	for i := range q.lanes {
+		if t = q.lanes[i].head; t != nil {
+			break
+		}
+	}
+	d.unlink(t)
+	d.pay(t)
+	return t
+}
+
+// pay charges tenant and queue for a ticket that goes in.
+func (d *Door) pay(t *ticket) {
+	te := t.tenant
+	te.queues.pay(&t.queue.flow, t.cost, t.queue.n > 0)
+	d.fair.pay(&te.flow, t.cost/te.weight, te.n > 0)
+	te.served += t.cost
+}
+
+// over is the ticket that has to go when there is no room: the newest of the longest queue of the tenant that waits with
+// most beyond its share, the cheapest product first. It is nobody's fault to have come last.
+func (d *Door) over() *ticket {
+	var worst *tenant
+	for _, te := range d.tenants {
+		if te.n > 0 && (worst == nil || te.cost/te.weight > worst.cost/worst.weight) {
+			worst = te
+		}
+	}
+	if worst == nil {
+		return nil
+	}
+	var longest *queue
+	for _, f := range worst.queues.active {
+		if q := f.item.(*queue); longest == nil || q.cost > longest.cost {
+			longest = q
+		}
+	}
+	for i := len(longest.lanes) - 1; i >= 0; i-- {
+		if t := longest.lanes[i].tail; t != nil {
+			return t
+		}
+	}
+	return nil
+}
+
+// ahead is how long a ticket will wait: the work before it in its own queue and in those of its tenant that take turns
+// with it, at its tenant's part of what goes in less what is promised.
+func (d *Door) ahead(t *ticket) Micros {
+	te, q := t.tenant, t.queue
+	before := q.cost
+	if q.lanes[t.lane].tail != t || t.lane+1 < len(q.lanes) {
+		before = d.before(t)
+	}
+	work := min(te.cost, before*float64(len(te.queues.active)))
+	return d.promises.until(d, t.Tenant, work)
+}
+
+// before is the work in a ticket's queue that goes in before it, and its own.
+func (d *Door) before(t *ticket) (work float64) {
+	for i := 0; i < t.lane; i++ {
+		for o := t.queue.lanes[i].head; o != nil; o = o.next {
+			work += o.cost
+		}
+	}
+	for o := t; o != nil; o = o.prev {
+		work += o.cost
+	}
+	return work
+}
+
+// part is the work a microsecond that a tenant gets while the others that wait want theirs.
+func (d *Door) part(te *tenant) float64 {
+	weights := 0.0
+	for _, f := range d.fair.active {
+		weights += f.item.(*tenant).weight
+	}
+	if te.flow.place < 0 {
+		weights += te.weight
+	}
+	return d.pace() * te.weight / weights
+}
+
+// ranks are the products' lanes, the dearest first; products of one revenue share one.
+func ranks(products []Product) (rank []int, lanes int) {
+	rank = make([]int, len(products))
+	for i, p := range products {
+		for j, o := range products {
+			first := true
+			for _, before := range products[:j] {
+				first = first && before.Revenue != o.Revenue
+			}
+			if o.Revenue > p.Revenue && first {
+				rank[i]++
+			}
+		}
+		lanes = max(lanes, rank[i]+1)
+	}
+	return rank, max(1, lanes)
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,340 @@
+// Package operator reads the operator's file: one setting a line, a keyword and its values, '#' before a comment, quotes
+// where a value holds spaces. It owns the keywords, their forms and their defaults, and finds all faults of a file at once;
+// it must never decide anything or touch what is at work.
+package operator
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/agext/levenshtein"
+	"github.com/google/shlex"
+)
+
+// Orders are what the file asks for.
+type Orders struct {
+	Path  string // empty: no file, all defaults
+	Log   LogBook
+	Door  DoorKeeping
+	Given []string // the keywords that the file holds, in its order
+}
+
+// LogBook is how the log is written.
+type LogBook struct{ Level, Form string }
+
+// DoorKeeping is how the door is kept.
+type DoorKeeping struct {
+	On         bool
+	Shares     map[string]float64 // a tenant's weight, before the told one
+	Client     string             // address, connection or header
+	Header     string
+	Queues     int
+	Txns       int   // 0: from the told limits
+	Bytes      int64 // 0: from the told memory
+	ComeBack   bool
+	SameAnswer bool
+}
+
+// Defaults are in force where the file says nothing.
+func Defaults() *Orders {
+	return &Orders{Log: LogBook{"info", "text"}, Door: DoorKeeping{Shares: map[string]float64{}, Client: "address", Queues: 64, ComeBack: true}}
+}
+
+// Fault is one thing that is wrong with a file.
+type Fault struct {
+	Path    string
+	Line    int
+	Keyword string
+	Why     string
+}
+
+func (f Fault) Error() string {
+	if f.Keyword == "" {
+		return fmt.Sprintf("%s:%d: %s", f.Path, f.Line, f.Why)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", f.Path, f.Line, f.Keyword, f.Why)
+}
+
+// Faults are all that is wrong with a file, in its order.
+type Faults []Fault
+
+func (f Faults) Error() string {
+	var lines []string
+	for _, one := range f {
+		lines = append(lines, one.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// keyword is one setting of the file.
+type keyword struct {
+	form string // its values, as the messages give them
+	most int    // of values; the least where least is 0
+	many bool   // may stand more than once, with another first value
+	set  func(o *Orders, v []string) error
+	show func(o *Orders) []string // its lines in the file in force, without the keyword
+}
+
+func word(of func(*Orders) *string, known ...string) keyword {
+	return keyword{form: strings.Join(known, "|"), most: 1,
+		set: func(o *Orders, v []string) error {
+			for _, k := range known {
+				if v[0] == k {
+					*of(o) = k
+					return nil
+				}
+			}
+			return fmt.Errorf("is %q, expected one of %s", v[0], strings.Join(known, ", "))
+		},
+		show: func(o *Orders) []string { return []string{*of(o)} }}
+}
+
+func onOff(of func(*Orders) *bool) keyword {
+	return keyword{form: "on|off", most: 1,
+		set: func(o *Orders, v []string) error {
+			if v[0] != "on" && v[0] != "off" {
+				return fmt.Errorf("is %q, expected on or off", v[0])
+			}
+			*of(o) = v[0] == "on"
+			return nil
+		},
+		show: func(o *Orders) []string {
+			if *of(o) {
+				return []string{"on"}
+			}
+			return []string{"off"}
+		}}
+}
+
+// count is a whole number in a range; auto stands for 0, which is worked out from what the agent is told.
+func count(of func(*Orders) *int, least, most int, auto bool) keyword {
+	k := keyword{form: fmt.Sprintf("%d to %d", least, most), most: 1}
+	if auto {
+		k.form += ", or auto"
+	}
+	k.set = func(o *Orders, v []string) error {
+		if auto && v[0] == "auto" {
+			*of(o) = 0
+			return nil
+		}
+		n, err := strconv.Atoi(v[0])
+		if err != nil || n < least || n > most {
+			return fmt.Errorf("is %q, expected a whole number, %s", v[0], k.form)
+		}
+		*of(o) = n
+		return nil
+	}
+	k.show = func(o *Orders) []string {
+		if auto && *of(o) == 0 {
+			return []string{"auto"}
+		}
+		return []string{strconv.Itoa(*of(o))}
+	}
+	return k
+}
+
+var keywords = map[string]keyword{
+	"log-level":   word(func(o *Orders) *string { return &o.Log.Level }, "debug", "info", "warn", "error"),
+	"log-form":    word(func(o *Orders) *string { return &o.Log.Form }, "text", "json"),
+	"door":        onOff(func(o *Orders) *bool { return &o.Door.On }),
+	"door-queues": count(func(o *Orders) *int { return &o.Door.Queues }, 1, 65536, false),
+	"door-txns":   count(func(o *Orders) *int { return &o.Door.Txns }, 1, 1_000_000, true),
+	"door-bytes": {form: "a size as 512KiB or 8MiB, or auto", most: 1,
+		set: func(o *Orders, v []string) (err error) { o.Door.Bytes, err = size(v[0]); return err },
+		show: func(o *Orders) []string {
+			if o.Door.Bytes == 0 {
+				return []string{"auto"}
+			}
+			return []string{strconv.FormatInt(o.Door.Bytes>>10, 10) + "KiB"}
+		}},
+	"door-client": {form: "address|connection|header NAME", most: 2,
+		set: func(o *Orders, v []string) error {
+			switch {
+			case v[0] == "header" && len(v) == 2:
+				o.Door.Header = v[1]
+			case (v[0] == "address" || v[0] == "connection") && len(v) == 1:
+				o.Door.Header = ""
+			default:
+				return fmt.Errorf("is %q, expected address, connection, or header and a name", strings.Join(v, " "))
+			}
+			o.Door.Client = v[0]
+			return nil
+		},
+		show: func(o *Orders) []string { return []string{strings.TrimSpace(o.Door.Client + " " + o.Door.Header)} }},
+	"come-back":   onOff(func(o *Orders) *bool { return &o.Door.ComeBack }),
+	"same-answer": onOff(func(o *Orders) *bool { return &o.Door.SameAnswer }),
+	"tenant": {form: "NAME share WEIGHT", most: 3, many: true,
+		set: func(o *Orders, v []string) error {
+			if len(v) != 3 || v[1] != "share" {
+				return fmt.Errorf("is %q, expected a name, the word share and a weight", strings.Join(v, " "))
+			}
+			w, err := strconv.ParseFloat(v[2], 64)
+			if err != nil || !(w > 0) || w > 1e6 {
+				return fmt.Errorf("has the weight %q, expected a number over 0", v[2])
+			}
+			o.Door.Shares[v[0]] = w
+			return nil
+		},
+		show: func(o *Orders) (lines []string) {
+			for name, w := range o.Door.Shares {
+				lines = append(lines, quoted(name)+" share "+strconv.FormatFloat(w, 'g', -1, 64))
+			}
+			sort.Strings(lines)
+			return lines
+		}},
+}
+
+func quoted(s string) string {
+	if strings.ContainsAny(s, " \t\"'#\\") {
+		return strconv.Quote(s)
+	}
+	return s
+}
+
+func size(v string) (int64, error) {
+	if v == "auto" {
+		return 0, nil
+	}
+	for unit, shift := range map[string]int{"KiB": 10, "MiB": 20, "GiB": 30} {
+		if n, is := strings.CutSuffix(v, unit); is {
+			many, err := strconv.ParseInt(n, 10, 64)
+			if err == nil && many > 0 && many < math.MaxInt64>>shift {
+				return many << shift, nil
+			}
+		}
+	}
+	return 0, fmt.Errorf("is %q, expected a size as 512KiB or 8MiB, or auto", v)
+}
+
+// Read opens and reads a file; the error is Faults where the file could be read.
+func Read(path string) (*Orders, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator's file: %w", err)
+	}
+	return Parse(path, bytes.NewReader(raw))
+}
+
+// Parse reads a file's text; path is what messages call it.
+func Parse(path string, text io.Reader) (*Orders, error) {
+	o := Defaults()
+	o.Path = path
+	var faults Faults
+	met := map[string]int{}
+	lines := bufio.NewScanner(text)
+	n := 0
+	for lines.Scan() {
+		n++
+		bad := func(keyword, format string, with ...any) {
+			faults = append(faults, Fault{path, n, keyword, fmt.Sprintf(format, with...)})
+		}
+		words, err := shlex.Split(lines.Text())
+		switch {
+		case err != nil:
+			bad("", "a quote that does not end")
+			continue
+		case len(words) == 0:
+			continue
+		}
+		name, values := words[0], words[1:]
+		k, known := keywords[name]
+		if !known {
+			bad(name, "no such keyword%s", nearest(name))
+			continue
+		}
+		if len(values) == 0 || len(values) > k.most {
+			bad(name, "has %d values, expected %s", len(values), k.form)
+			continue
+		}
+		same := name
+		if k.many {
+			same += " " + values[0]
+		}
+		if first := met[same]; first > 0 {
+			bad(name, "stands on line %d already", first)
+			continue
+		}
+		met[same] = n
+		if err := k.set(o, values); err != nil {
+			bad(name, "%s", err)
+			continue
+		}
+		o.Given = append(o.Given, name)
+	}
+	if err := lines.Err(); err != nil {
+		faults = append(faults, Fault{path, n + 1, "", "a line is too long to be read"})
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return o, nil
+}
+
+// near is the least likeness at which a keyword is offered for one that is not known.
+const near = 0.5
+
+func nearest(name string) string {
+	best, by := "", near
+	for _, k := range names() {
+		if like := levenshtein.Match(name, k, nil); like > by {
+			best, by = k, like
+		}
+	}
+	if best == "" {
+		return ", known are " + strings.Join(names(), ", ")
+	}
+	return ", the nearest is " + best
+}
+
+func names() (all []string) {
+	for k := range keywords {
+		all = append(all, k)
+	}
+	sort.Strings(all)
+	return all
+}
+
+// Write writes the file in force, with every default.
+func (o *Orders) Write(to io.Writer) {
+	for _, name := range names() {
+		for _, line := range keywords[name].show(o) {
+			fmt.Fprintf(to, "%s %s\n", name, line)
+		}
+	}
+}
+
+// atOnce are the keywords that a reload puts in force.
+var atOnce = map[string]bool{"log-level": true, "log-form": true, "tenant": true}
+
+// Differs names the keywords in which another file differs that need a restart.
+func (o *Orders) Differs(other *Orders) (left []string) {
+	for _, name := range names() {
+		a, b := keywords[name].show(o), keywords[name].show(other)
+		if !atOnce[name] && strings.Join(a, "\n") != strings.Join(b, "\n") {
+			left = append(left, name)
+		}
+	}
+	return left
+}
+
+// Strangers are the tenants of the file that the agent was not told of.
+func (o *Orders) Strangers(told []string) (names []string) {
+	for name := range o.Door.Shares {
+		known := false
+		for _, t := range told {
+			known = known || t == name
+		}
+		if !known {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -100,7 +100,7 @@
 	own.Close()
 	conf := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,
 "sockets":1024},"platform":{"address":%q,"news":{"image":41,"ring":1,"progress":"live","ceiling":1,"lag_ms":9000}},
-"known":%s,"settings":%s}`, own.Addr(), a.discovery.addr(), a.launcher.addr(), line(1, true, hosts...), settings)
+"known":%s,"settings":%s}`, own.Addr(), a.discovery.Addr(), a.launcher.Addr(), line(1, true, hosts...), settings)
 	if change != nil {
 		conf = change(conf)
 	}
@@ -187,32 +187,32 @@
 
 func TestSettledUnchanged(t *testing.T) {
 	b := newBox(t, answers("HTTP/1.1 200 OK\r\nContent-Type: text/odd\r\nContent-Length: 4\r\n\r\n\x00\xff\n!"))
-	a := launch(t, nil, host("s-1", b.addr(), "active", 41))
+	a := launch(t, nil, host("s-1", b.Addr(), "active", 41))
 	target := "/posting//a/../b%2Fc?sid=7f3a9c21e0b4d655&odd;=%zz&&x"
 	got := a.ask(t, "POST", target, "some\r\nbody", "X-Request-Id", "9b1f03aa5c7e2d41", "X-Deadline-Ms", "900", "X-Tenant", "nobody", "X-Other", "kept")
 	if got.status != 200 || got.body != "\x00\xff\n!" || got.header.Get("Content-Type") != "text/odd" {
 		t.Errorf("client got %+v", got)
 	}
-	copies := b.got()
+	copies := b.Got()
 	if len(copies) != 1 {
 		t.Fatalf("%d copies arrived", len(copies))
 	}
 	c, wait := copies[0], 0
-	fmt.Sscan(c.header.Get("X-Deadline-Ms"), &wait)
-	if c.line != "POST "+target || c.body != "some\r\nbody" || c.header.Get("X-Request-Id") != "9b1f03aa5c7e2d41" ||
-		c.header.Get("Idempotency-Key") != "5c0f6e1a" || c.header.Get("X-Other") != "kept" || wait < 1 || wait > 900 ||
-		len(c.header["X-Deadline-Ms"]) != 1 {
+	fmt.Sscan(c.Header.Get("X-Deadline-Ms"), &wait)
+	if c.Line != "POST "+target || c.Body != "some\r\nbody" || c.Header.Get("X-Request-Id") != "9b1f03aa5c7e2d41" ||
+		c.Header.Get("Idempotency-Key") != "5c0f6e1a" || c.Header.Get("X-Other") != "kept" || wait < 1 || wait > 900 ||
+		len(c.Header["X-Deadline-Ms"]) != 1 {
 		t.Errorf("arrived: %+v", c)
 	}
 	a.ask(t, "GET", "/lookup", "")
-	if copies = b.got(); copies[1].conn != 1 {
+	if copies = b.Got(); copies[1].Conn != 1 {
 		t.Error("the connection was not used again")
 	}
 }
 
 func TestRequestsTurnedAway(t *testing.T) {
 	b := newBox(t, answers(ok("done")))
-	a := launch(t, nil, host("s-1", b.addr(), "active", 41))
+	a := launch(t, nil, host("s-1", b.Addr(), "active", 41))
 	for _, c := range []struct {
 		method, target, body string
 		with                 []string
@@ -234,7 +234,7 @@
 			t.Errorf("%s %s %v: got %d %q, want %d", c.method, c.target, c.with, got.status, got.body, c.want)
 		}
 	}
-	if n := len(b.got()); n != 1 {
+	if n := len(b.Got()); n != 1 {
 		t.Errorf("%d copies arrived, want the last one's", n)
 	}
 }
@@ -259,7 +259,7 @@
 // What is no request gets an error or a close in time, and nothing of it reaches an appliance.
 func TestBadClients(t *testing.T) {
 	b := newBox(t, answers(ok("done")))
-	a := launch(t, nil, host("s-1", b.addr(), "active", 41))
+	a := launch(t, nil, host("s-1", b.Addr(), "active", 41))
 	head := "POST /posting HTTP/1.1\r\nHost: x\r\nX-Request-Id: 1\r\nIdempotency-Key: k\r\n"
 	hidden := "GET /lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: 2\r\n\r\n"
 	var wait sync.WaitGroup
@@ -288,8 +288,8 @@
 		})
 	}
 	wait.Wait()
-	if n := len(b.got()); n != 0 {
-		t.Errorf("%d copies arrived: %+v", n, b.got())
+	if n := len(b.Got()); n != 0 {
+		t.Errorf("%d copies arrived: %+v", n, b.Got())
 	}
 }
 
@@ -297,19 +297,19 @@
 func TestDoubledID(t *testing.T) {
 	let := make(chan struct{})
 	b := newBox(t, func(c net.Conn, nth int) bool { <-let; return answers(ok("done"))(c, nth) })
-	a := launch(t, nil, host("s-1", b.addr(), "active", 41))
+	a := launch(t, nil, host("s-1", b.Addr(), "active", 41))
 	first := make(chan answered, 1)
 	go func() {
 		got, _ := a.try(context.Background(), "GET", "/lookup", "", "X-Request-Id", "a1")
 		first <- got
 	}()
-	eventually(t, "the copy", func() bool { return len(b.got()) == 1 })
+	eventually(t, "the copy", func() bool { return len(b.Got()) == 1 })
 	if got := a.ask(t, "POST", "/posting", "x", "X-Request-Id", "a1"); got.status != 409 {
 		t.Errorf("the second got %+v", got)
 	}
 	close(let)
-	if got := <-first; got.status != 200 || len(b.got()) != 1 {
-		t.Errorf("the first got %+v, %d copies", got, len(b.got()))
+	if got := <-first; got.status != 200 || len(b.Got()) != 1 {
+		t.Errorf("the first got %+v, %d copies", got, len(b.Got()))
 	}
 	eventually(t, "the id's freedom", func() bool { return a.ask(t, "GET", "/lookup", "", "X-Request-Id", "a1").status == 200 })
 }
@@ -317,15 +317,15 @@
 // With nothing to send to, a txn is declined with advice; one that may have run gets an answer by its expiry.
 func TestDeclinedAndVoided(t *testing.T) {
 	b := newBox(t, mute)
-	a := launch(t, nil, host("s-1", b.addr(), "leaving", 41))
+	a := launch(t, nil, host("s-1", b.Addr(), "leaving", 41))
 	if got := a.ask(t, "POST", "/posting", ""); got.status != 503 || got.header.Get("Retry-After") != "0.500" {
 		t.Errorf("declined with %+v", got)
 	}
-	a.discovery.tell(line(2, false, host("s-1", b.addr(), "active", 41)))
+	a.discovery.Tell(line(2, false, host("s-1", b.Addr(), "active", 41)))
 	eventually(t, "the list", func() bool { return strings.Contains(a.log.String(), "seq=2") })
 	got := a.ask(t, "POST", "/posting", "", "X-Deadline-Ms", "300")
-	if got.status != 504 || len(b.got()) != 1 {
-		t.Errorf("got %+v after %d copies", got, len(b.got()))
+	if got.status != 504 || len(b.Got()) != 1 {
+		t.Errorf("got %+v after %d copies", got, len(b.Got()))
 	}
 	if got.took < 200*time.Millisecond {
 		t.Errorf("answered after %v, before its time", got.took)
@@ -335,50 +335,50 @@
 // A client that goes away ends nothing but its own txn.
 func TestClientGone(t *testing.T) {
 	b := newBox(t, mute)
-	a := launch(t, nil, host("s-1", b.addr(), "active", 41))
+	a := launch(t, nil, host("s-1", b.Addr(), "active", 41))
 	ctx, leave := context.WithCancel(context.Background())
 	left := make(chan error)
 	go func() { _, err := a.try(ctx, "GET", "/lookup", ""); left <- err }()
-	eventually(t, "the copy", func() bool { return len(b.got()) == 1 })
+	eventually(t, "the copy", func() bool { return len(b.Got()) == 1 })
 	leave()
 	if err := <-left; err == nil {
 		t.Error("answered all the same")
 	}
-	b.then(answers(ok("done")))
+	b.Then(answers(ok("done")))
 	eventually(t, "the next one's answer", func() bool { return a.ask(t, "GET", "/lookup", "").status == 200 })
 }
 
 // Nothing new goes to an appliance that drains; a host that is back with another build and address is served.
 func TestDrainNotice(t *testing.T) {
 	first, second, third := newBox(t, answers(ok("1"))), newBox(t, answers(ok("2"))), newBox(t, answers(ok("3")))
-	a := launch(t, nil, host("s-1", first.addr(), "active", 41))
+	a := launch(t, nil, host("s-1", first.Addr(), "active", 41))
 	if got := a.ask(t, "GET", "/lookup", ""); got.body != "1" {
 		t.Errorf("got %+v", got)
 	}
-	a.discovery.tell(line(2, false, host("s-1", first.addr(), "leaving", 41), host("s-2", second.addr(), "active", 41)))
+	a.discovery.Tell(line(2, false, host("s-1", first.Addr(), "leaving", 41), host("s-2", second.Addr(), "active", 41)))
 	eventually(t, "the drain", func() bool { return strings.Contains(a.log.String(), "seq=2") })
 	for range 5 {
 		if got := a.ask(t, "GET", "/lookup", ""); got.body != "2" {
 			t.Errorf("after the drain notice: %+v", got)
 		}
 	}
-	a.discovery.tell(line(3, false, host("s-1", third.addr(), "active", 41), host("s-2", second.addr(), "left", 41)))
+	a.discovery.Tell(line(3, false, host("s-1", third.Addr(), "active", 41), host("s-2", second.Addr(), "left", 41)))
 	eventually(t, "the return", func() bool { return a.ask(t, "GET", "/lookup", "").body == "3" })
-	if len(first.got()) != 1 {
-		t.Errorf("%d copies at the first", len(first.got()))
+	if len(first.Got()) != 1 {
+		t.Errorf("%d copies at the first", len(first.Got()))
 	}
 }
 
 // A build that fails is voted back, and again after the pause when the launcher says that it is full.
 func TestVotesBack(t *testing.T) {
 	good, bad := newBox(t, answers(ok("1"))), newBox(t, answers("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"))
-	hosts := []string{host("s-1", good.addr(), "active", 41)}
+	hosts := []string{host("s-1", good.Addr(), "active", 41)}
 	for i := range 4 { // one alone is set aside before there is evidence enough
-		hosts = append(hosts, host(fmt.Sprint("t-", i), bad.addr(), "active", 42))
+		hosts = append(hosts, host(fmt.Sprint("t-", i), bad.Addr(), "active", 42))
 	}
 	a := launch(t, nil, hosts...)
-	eventually(t, "the bulletin", func() bool { return a.launcher.calls("/api/bulletin") > 0 })
-	a.launcher.tell(bulletin(42, 0, "testing", 0.5))
+	eventually(t, "the bulletin", func() bool { return a.launcher.Calls("/api/bulletin") > 0 })
+	a.launcher.Tell(bulletin(42, 0, "testing", 0.5))
 	eventually(t, "the news", func() bool { return strings.Contains(a.log.String(), "build=42") })
 	asked := 0
 	vote := "image=42&ring=0&opinion=reject"
@@ -387,10 +387,10 @@
 		if got := a.ask(t, "GET", fmt.Sprintf("/lookup?sid=%016x", asked), ""); got.status != 200 && got.status != 503 {
 			t.Errorf("got %+v", got)
 		}
-		return a.launcher.calls(vote) >= 2
+		return a.launcher.Calls(vote) >= 2
 	})
-	if len(bad.got()) < 10 {
-		t.Errorf("voted after %d outcomes", len(bad.got()))
+	if len(bad.Got()) < 10 {
+		t.Errorf("voted after %d outcomes", len(bad.Got()))
 	}
 }
 
@@ -404,13 +404,13 @@
 		}
 		return answers(ok("done"))(c, nth)
 	})
-	a := launch(t, nil, host("s-1", b.addr(), "active", 41))
+	a := launch(t, nil, host("s-1", b.Addr(), "active", 41))
 	open := make(chan answered, 1)
 	go func() {
 		got, _ := a.try(context.Background(), "GET", "/lookup", "", "X-Deadline-Ms", "2000")
 		open <- got
 	}()
-	eventually(t, "the copy", func() bool { return len(b.got()) == 1 })
+	eventually(t, "the copy", func() bool { return len(b.Got()) == 1 })
 	if err := a.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -445,7 +445,7 @@
 	let := make(chan struct{})
 	b := newBox(t, func(c net.Conn, nth int) bool { <-let; return answers(ok("done"))(c, nth) })
 	few := launch(t, func(conf string) string { return strings.Replace(conf, `"sockets":1024`, `"sockets":64`, 1) },
-		host("s-1", b.addr(), "active", 41))
+		host("s-1", b.Addr(), "active", 41))
 	few.healthy(t)
 	var wait sync.WaitGroup
 	var mu sync.Mutex
@@ -463,8 +463,8 @@
 	eventually(t, "a refusal for want of room", func() bool { return strings.Contains(few.log.String(), "no room for another txn") })
 	close(let)
 	wait.Wait()
-	if got[200] == 0 || got[200] != len(b.got()) || got[503] == 0 || got[200]+got[503] != 100 {
-		t.Errorf("answers by status: %v, with %d copies", got, len(b.got()))
+	if got[200] == 0 || got[200] != len(b.Got()) || got[503] == 0 || got[200]+got[503] != 100 {
+		t.Errorf("answers by status: %v, with %d copies", got, len(b.Got()))
 	}
 	if again := few.ask(t, "GET", "/lookup", ""); again.status != 200 {
 		t.Errorf("then got %+v", again)
@@ -475,7 +475,7 @@
 func TestSilentCrowd(t *testing.T) {
 	b := newBox(t, answers(ok("done")))
 	few := launch(t, func(conf string) string { return strings.Replace(conf, `"sockets":1024`, `"sockets":64`, 1) },
-		host("s-1", b.addr(), "active", 41))
+		host("s-1", b.Addr(), "active", 41))
 	few.healthy(t)
 	var wait sync.WaitGroup
 	for range 60 {
@@ -502,7 +502,7 @@
 func TestAskedOnce(t *testing.T) {
 	b := newBox(t, answers(ok("done")))
 	few := launch(t, func(conf string) string { return strings.Replace(conf, `"sockets":1024`, `"sockets":64`, 1) },
-		host("s-1", b.addr(), "active", 41))
+		host("s-1", b.Addr(), "active", 41))
 	few.healthy(t)
 	var first net.Conn
 	start := time.Now()
@@ -532,7 +532,7 @@
 // A request that stood unread while the agent was stopped has that much less time left.
 func TestTimeInTheQueueCounts(t *testing.T) {
 	b := newBox(t, mute)
-	a := launch(t, nil, host("s-1", b.addr(), "active", 41))
+	a := launch(t, nil, host("s-1", b.Addr(), "active", 41))
 	if err := a.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
@@ -549,9 +549,9 @@
 	if err := a.cmd.Process.Signal(syscall.SIGCONT); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "the copy", func() bool { return len(b.got()) == 1 })
+	eventually(t, "the copy", func() bool { return len(b.Got()) == 1 })
 	wait := 0
-	fmt.Sscan(b.got()[0].header.Get("X-Deadline-Ms"), &wait)
+	fmt.Sscan(b.Got()[0].Header.Get("X-Deadline-Ms"), &wait)
 	if wait < 1 || wait > 1050 {
 		t.Errorf("the appliance was told to have %d ms", wait)
 	}
@@ -561,8 +561,8 @@
 // nothing, and other keys are named.
 func TestReload(t *testing.T) {
 	first, second := newBox(t, answers(ok("1"))), newBox(t, answers(ok("2")))
-	a := launch(t, nil, host("s-1", first.addr(), "active", 41))
-	eventually(t, "the start's watch and news", func() bool { return a.discovery.calls("index=1") == 1 && a.launcher.calls("bulletin") == 1 })
+	a := launch(t, nil, host("s-1", first.Addr(), "active", 41))
+	eventually(t, "the start's watch and news", func() bool { return a.discovery.Calls("index=1") == 1 && a.launcher.Calls("bulletin") == 1 })
 	reload := func(want string, change ...string) {
 		t.Helper()
 		conf, seen := strings.NewReplacer(change...).Replace(a.conf), strings.Count(a.log.String(), want)
@@ -578,11 +578,11 @@
 	reload("config.settings.Limits.DialTimeoutMs is 0", `"DialTimeoutMs":250.0`, `"DialTimeoutMs":0`)
 	reload(`platform.address=""`)
 	reload("config.limits.sockets", `"sockets":1024`, `"sockets":512`)
-	if a.discovery.calls("") != 1 || a.launcher.calls("") != 1 {
-		t.Errorf("what did not change was asked anew: %q, %q", a.discovery.asked, a.launcher.asked)
+	if a.discovery.Calls("") != 1 || a.launcher.Calls("") != 1 {
+		t.Errorf("what did not change was asked anew: %q, %q", a.discovery.Asked(), a.launcher.Asked())
 	}
 
-	hosts := line(2, true, host("s-1", first.addr(), "leaving", 41), host("s-2", second.addr(), "active", 41))
+	hosts := line(2, true, host("s-1", first.Addr(), "leaving", 41), host("s-2", second.Addr(), "active", 41))
 	there := newStreamer(t, "\n", 100*time.Millisecond, func(asked string) string {
 		if strings.Contains(asked, "stream") {
 			return ""
@@ -591,16 +591,16 @@
 	})
 	news := newStreamer(t, ":\n", 100*time.Millisecond, func(string) string { return bulletin(43, 0, "testing", 0.5) })
 	silent := listen(t)
-	reload("reload", a.discovery.addr(), silent.Addr().String()) // one that says nothing leaves the old one in force
-	a.discovery.tell(line(2, false, host("s-3", second.addr(), "left", 41)))
+	reload("reload", a.discovery.Addr(), silent.Addr().String()) // one that says nothing leaves the old one in force
+	a.discovery.Tell(line(2, false, host("s-3", second.Addr(), "left", 41)))
 	eventually(t, "a change from the old address", func() bool { return strings.Contains(a.log.String(), "seq=2") })
-	reload("reload", a.discovery.addr(), there.addr(), a.launcher.addr(), news.addr())
+	reload("reload", a.discovery.Addr(), there.Addr(), a.launcher.Addr(), news.Addr())
 	eventually(t, "the new list", func() bool { return a.ask(t, "GET", "/lookup", "").body == "2" })
 	eventually(t, "the new news", func() bool { return strings.Contains(a.log.String(), "build=43") })
-	eventually(t, "the end of the old streams", func() bool { return a.discovery.left() == 1 && a.launcher.left() == 1 })
-	eventually(t, "the new watch", func() bool { return there.calls("index=2") == 1 })
-	if a.discovery.calls("") != 1 || a.launcher.calls("") != 1 {
-		t.Errorf("the old addresses were asked again: %q, %q", a.discovery.asked, a.launcher.asked)
+	eventually(t, "the end of the old streams", func() bool { return a.discovery.Left() == 1 && a.launcher.Left() == 1 })
+	eventually(t, "the new watch", func() bool { return there.Calls("index=2") == 1 })
+	if a.discovery.Calls("") != 1 || a.launcher.Calls("") != 1 {
+		t.Errorf("the old addresses were asked again: %q, %q", a.discovery.Asked(), a.launcher.Asked())
 	}
 }
 
--- a/sockets/codec.go
+++ b/sockets/codec.go
@@ -59,6 +59,7 @@
 type order struct {
 	product, customer int
 	key               uint64
+	mark              uint64 // what its next try will carry too: its reference, or else its key
 	wait              time.Duration
 	work              brain.Micros
 	repeat            bool
@@ -124,7 +125,11 @@
 	if o.customer = slices.Index(c.customers, r.Header.Get("X-Tenant")); o.customer < 0 {
 		o.customer = len(c.customers)
 	}
-	o.key = keyOf(query)
+	if o.key = keyOf(query); inquiry {
+		o.mark = o.key
+	} else if ref := r.Header.Get("Idempotency-Key"); ref != "" {
+		o.mark = hash64(ref)
+	}
 	if us, err := strconv.ParseFloat(r.Header.Get("X-Cost-Hint"), 64); err == nil && us > 0 && us < 1e9 {
 		o.work = brain.Micros(us)
 	}
--- a/sockets/core.go
+++ b/sockets/core.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"switchfork/brain"
+	"switchfork/door"
 )
 
 // This file owns the module's actor: its mailbox, its clock, its bell, and who gets each of its orders. Nothing
@@ -71,6 +72,18 @@
 	out     int  // submissions that have not ended
 	on      *appliance
 	done    func() // when it is over and nothing of it is out; nil where nobody asks
+	sent    func() // when it is first sent; nil where nobody asks
+	how     door.How
+	also    []chan reply // its next tries, which get its answer
+}
+
+// tell gives a final answer to all who wait for it.
+func (t *open) tell(r reply) {
+	t.reply <- r
+	for _, also := range t.also {
+		also <- r
+	}
+	t.also = nil
 }
 
 // What the others put into the core's mailbox; the module's own events come as they are.
@@ -174,6 +187,7 @@
 		c.handle(n.taken)
 	case brain.Abandoned:
 		if t := c.txns[n.ID]; t != nil && !t.over {
+			t.how = door.Left
 			c.over(n.ID, t)
 			c.handle(n)
 		}
@@ -187,6 +201,12 @@
 		}
 	case calledIn:
 		close(n.done)
+	case alsoTo:
+		if t := c.txns[n.first]; t != nil && !t.over {
+			t.also = append(t.also, n.open.reply)
+		} else {
+			n.open.reply <- reply{refused: true} // nothing was sent for it
+		}
 	default:
 		c.handle(n)
 	}
@@ -210,7 +230,8 @@
 	} else {
 		t.out--
 		if !t.over && (n.ending == Settled || n.ending == Rejected) {
-			t.reply <- reply{settled: n.answer}
+			t.how = door.Settled
+			t.tell(reply{settled: n.answer})
 			t.over = true
 		}
 		if n.Over = t.over; t.over {
@@ -321,13 +342,20 @@
 	if patient := now.Add(time.Duration(o.Patience) * time.Microsecond); o.Patience != 0 && patient.Before(until) {
 		until = patient
 	}
+	if t.sent != nil {
+		t.sent()
+		t.sent = nil
+	}
 	t.out, t.on = t.out+1, a
 	a.box.put(submission{id: o.ID, parcel: t.parcel, at: now, until: until})
 }
 
 func (c *Core) answer(id uint64, r reply) {
 	if t := c.txns[id]; t != nil && !t.over {
-		t.reply <- r
+		if t.how = door.Voided; r.refused {
+			t.how = door.Declined
+		}
+		t.tell(r)
 		c.over(id, t)
 	}
 }
--- a/sockets/core_test.go
+++ b/sockets/core_test.go
@@ -138,7 +138,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			b := newBox(t, c.do)
 			r := newRig(t, time.Second, "127.0.0.1:1", "127.0.0.1:1")
-			r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.addr(), Site: "suva", Health: "active"}}})
+			r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.Addr(), Site: "suva", Health: "active"}}})
 			got := r.send(t, 1, posting, 400*time.Millisecond)
 			ends := seen[brain.Ended](r.script)
 			if len(ends) != 1 || ends[0].Outcome != c.want || ends[0].Over != (c.want == brain.OK || c.want == brain.Moot) {
@@ -150,11 +150,11 @@
 			if c.want == brain.Moot && (got.settled == nil || got.settled.status != 400) {
 				t.Errorf("client got %+v", got)
 			}
-			if copies := b.got(); len(copies) != c.copies || copies[0].body != "body" {
+			if copies := b.Got(); len(copies) != c.copies || copies[0].Body != "body" {
 				t.Errorf("%d copies arrived: %+v", len(copies), copies)
 			}
 			if c.want == brain.TimedOut || c.want == brain.Broken || c.want == brain.Spoilt { // given up: never two out at once
-				eventually(t, "the end of the connection", func() bool { return b.ended() == 1 })
+				eventually(t, "the end of the connection", func() bool { return b.Ended() == 1 })
 			}
 		})
 	}
@@ -182,20 +182,20 @@
 func TestReusedConnection(t *testing.T) {
 	b := newBox(t, answers(ok("done")))
 	r := newRig(t, time.Second, "127.0.0.1:1", "127.0.0.1:1")
-	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.addr(), Site: "suva", Health: "active"}}})
+	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.Addr(), Site: "suva", Health: "active"}}})
 	r.send(t, 1, posting, time.Second)
-	b.then(hangUp)
+	b.Then(hangUp)
 	r.send(t, 2, posting, time.Second)
-	ends, copies := seen[brain.Ended](r.script), b.got()
-	if len(copies) != 2 || copies[1].conn != 1 || ends[1].Outcome != brain.Broken {
+	ends, copies := seen[brain.Ended](r.script), b.Got()
+	if len(copies) != 2 || copies[1].Conn != 1 || ends[1].Outcome != brain.Broken {
 		t.Fatalf("ended as %+v after copies %+v", ends, copies)
 	}
-	b.then(func(c net.Conn, nth int) bool { return answers(ok("done")+ok("not asked for"))(c, nth) })
+	b.Then(func(c net.Conn, nth int) bool { return answers(ok("done")+ok("not asked for"))(c, nth) })
 	r.send(t, 3, posting, time.Second)
-	eventually(t, "the end of a connection that brought too much", func() bool { return b.ended() == 2 })
-	b.then(answers(ok("done")))
-	if got := r.send(t, 4, posting, time.Second); got.settled == nil || len(b.got()) != 4 || b.got()[3].conn != 3 {
-		t.Errorf("got %+v after copies %+v", got, b.got())
+	eventually(t, "the end of a connection that brought too much", func() bool { return b.Ended() == 2 })
+	b.Then(answers(ok("done")))
+	if got := r.send(t, 4, posting, time.Second); got.settled == nil || len(b.Got()) != 4 || b.Got()[3].Conn != 3 {
+		t.Errorf("got %+v after copies %+v", got, b.Got())
 	}
 }
 
@@ -205,10 +205,10 @@
 	b := newBox(t, func(c net.Conn, nth int) bool { <-let; return answers(ok("done"))(c, nth) })
 	r := newRig(t, time.Second, "127.0.0.1:1", "127.0.0.1:1")
 	before := runtime.NumGoroutine()
-	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.addr(), Site: "suva", Health: "active"}}})
+	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.Addr(), Site: "suva", Health: "active"}}})
 	got := make(chan reply)
 	go func() { got <- r.send(t, 1, posting, patience) }()
-	eventually(t, "the copy", func() bool { return len(b.got()) == 1 })
+	eventually(t, "the copy", func() bool { return len(b.Got()) == 1 })
 	for i := range 300 {
 		host := entry{Host: fmt.Sprint("h", i), Dial: "127.0.0.1:1", Site: "suva", Health: "active"}
 		r.roster.tell(roll{Seq: 2, Hosts: []entry{host, {Host: "box", Health: "left"}}})
@@ -225,7 +225,7 @@
 	if n := len(r.core.appliances) + len(r.core.all) + len(r.roster.numbers) + len(r.roster.taken); n != 0 {
 		t.Errorf("%d records are kept", n)
 	}
-	eventually(t, "the end of the connection and the actors", func() bool { return b.ended() == 1 && runtime.NumGoroutine() <= before+2 })
+	eventually(t, "the end of the connection and the actors", func() bool { return b.Ended() == 1 && runtime.NumGoroutine() <= before+2 })
 }
 
 // What an appliance sends behind an answer, at once or later, never meets the next txn.
@@ -233,9 +233,9 @@
 	for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
 		b := newBox(t, nil)
 		r := newRig(t, time.Second, "127.0.0.1:1", "127.0.0.1:1")
-		r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.addr(), Site: "suva", Health: "active"}}})
+		r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.Addr(), Site: "suva", Health: "active"}}})
 		behind := make(chan bool, 50)
-		b.then(func(c net.Conn, nth int) bool {
+		b.Then(func(c net.Conn, nth int) bool {
 			io.WriteString(c, ok(fmt.Sprint(nth)))
 			time.Sleep(pause)
 			_, err := io.WriteString(c, ok("not asked for"))
@@ -256,21 +256,21 @@
 func TestHostMoves(t *testing.T) {
 	before, after := newBox(t, answers(ok("a"))), newBox(t, answers(ok("b")))
 	r := newRig(t, time.Second, "127.0.0.1:1", "127.0.0.1:1")
-	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: before.addr(), Site: "suva", Health: "active", Build: 1}}})
+	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: before.Addr(), Site: "suva", Health: "active", Build: 1}}})
 	r.send(t, 1, posting, time.Second)
-	r.roster.tell(roll{Seq: 2, Hosts: []entry{{Host: "box", Dial: after.addr(), Site: "suva", Health: "active", Build: 2}}})
-	eventually(t, "the end of the old connection", func() bool { return before.ended() == 1 })
+	r.roster.tell(roll{Seq: 2, Hosts: []entry{{Host: "box", Dial: after.Addr(), Site: "suva", Health: "active", Build: 2}}})
+	eventually(t, "the end of the old connection", func() bool { return before.Ended() == 1 })
 	r.send(t, 2, posting, time.Second)
 	lists := seen[brain.Listed](r.script)
-	if len(before.got()) != 1 || len(after.got()) != 1 || lists[0].Rows[0].ID != lists[1].Rows[0].ID || lists[1].Rows[0].Build != 2 {
-		t.Errorf("%d and %d copies, lists %+v", len(before.got()), len(after.got()), lists)
+	if len(before.Got()) != 1 || len(after.Got()) != 1 || lists[0].Rows[0].ID != lists[1].Rows[0].ID || lists[1].Rows[0].Build != 2 {
+		t.Errorf("%d and %d copies, lists %+v", len(before.Got()), len(after.Got()), lists)
 	}
 }
 
 func TestCallOffAndProbe(t *testing.T) {
 	b := newBox(t, mute)
 	r := newRig(t, time.Second, "127.0.0.1:1", "127.0.0.1:1")
-	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.addr(), Site: "suva", Health: "active"}}})
+	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.Addr(), Site: "suva", Health: "active"}}})
 	r.mu.Lock()
 	n := r.roster.number("box")
 	r.do = func(ev brain.Event) []brain.Order {
@@ -286,8 +286,8 @@
 	}
 	r.mu.Unlock()
 	r.core.box.put(arrived{brain.Taken{ID: 7}, &open{parcel: posting, reply: make(chan reply, 1), expires: time.Now().Add(patience)}})
-	eventually(t, "the copy", func() bool { return len(b.got()) == 1 })
-	b.then(answers("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"queue\":3}"))
+	eventually(t, "the copy", func() bool { return len(b.Got()) == 1 })
+	b.Then(answers("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"queue\":3}"))
 	r.core.box.put(brain.Abandoned{ID: 7})
 	r.core.box.put(brain.Abandoned{ID: 7}) // told once
 	eventually(t, "the probe's answer", func() bool { return len(seen[brain.Probed](r.script)) == 1 })
@@ -298,8 +298,8 @@
 	if len(ends) != 1 || ends[0].Outcome != brain.CalledOff || !ends[0].Over || len(seen[brain.Abandoned](r.script)) != 1 {
 		t.Errorf("ended as %+v", ends)
 	}
-	if b.got()[1].line != "GET /_load" {
-		t.Errorf("probed by %s", b.got()[1].line)
+	if b.Got()[1].Line != "GET /_load" {
+		t.Errorf("probed by %s", b.Got()[1].Line)
 	}
 }
 
@@ -372,7 +372,7 @@
 		}
 		return line(12, false, host("box", "127.0.0.1:1", "active", 3))
 	})
-	r := newRig(t, time.Second, d.addr(), "127.0.0.1:1")
+	r := newRig(t, time.Second, d.Addr(), "127.0.0.1:1")
 	if err := r.roster.Known([]byte(line(10, true, host("box", "127.0.0.1:1", "active", 1)))); err != nil {
 		t.Fatal(err)
 	}
@@ -386,17 +386,17 @@
 		return out
 	}
 	eventually(t, "the first change", func() bool { return len(builds()) == 2 })
-	d.tell(line(11, false, host("box", "127.0.0.1:1", "active", 2)) + line(20, false, host("box", "127.0.0.1:1", "leaving", 4)))
+	d.Tell(line(11, false, host("box", "127.0.0.1:1", "active", 2)) + line(20, false, host("box", "127.0.0.1:1", "leaving", 4)))
 	eventually(t, "the second change", func() bool { return len(builds()) == 3 })
-	d.cut()
-	eventually(t, "the watch again", func() bool { return d.calls("stream=1&index=20") == 1 })
-	eventually(t, "its stream", func() bool { d.mu.Lock(); defer d.mu.Unlock(); return len(d.open) == 1 })
-	d.tell("{\"seq\":21,\"hosts\":[" + "\n")
+	d.Cut()
+	eventually(t, "the watch again", func() bool { return d.Calls("stream=1&index=20") == 1 })
+	eventually(t, "its stream", func() bool { return d.Open() == 1 })
+	d.Tell("{\"seq\":21,\"hosts\":[" + "\n")
 	eventually(t, "the whole list", func() bool { return len(builds()) == 4 })
 	if got := builds(); got[1] != 3 || got[2] != 4 || got[3] != 9 {
 		t.Errorf("builds told: %v", got)
 	}
-	eventually(t, "the watch from the whole list on", func() bool { return d.calls("index=30") > 0 })
+	eventually(t, "the watch from the whole list on", func() bool { return d.Calls("index=30") > 0 })
 }
 
 // Every answer to a vote by the protocol's table; each vote has exactly one, at the latest after the told wait.
@@ -416,20 +416,20 @@
 		{"418|", brain.TimedOut},
 	} {
 		l := newStreamer(t, ":\n", time.Hour, func(string) string { return c.answer })
-		r := newRig(t, time.Second, "127.0.0.1:1", l.addr())
+		r := newRig(t, time.Second, "127.0.0.1:1", l.Addr())
 		r.launcher.call(r.ctx, r.launcher.base, brain.Vote{Build: 42, Stage: 1, Verdict: brain.On})
 		eventually(t, "the vote's answer", func() bool { return len(seen[brain.Staged](r.script)) == 1 })
 		s := seen[brain.Staged](r.script)[0]
 		if s.Outcome != c.want || !s.Answer || s.Build != 42 || s.Stage != 1 || c.want == brain.OK && (s.Cap != 0.28 || s.Age != 310000) {
 			t.Errorf("%s: told as %+v", c.answer, s)
 		}
-		if l.calls("POST /api/ Action=RecordOpinion&image=42&ring=1&opinion=approve") != 1 {
-			t.Errorf("voted by %q", l.asked)
+		if l.Calls("POST /api/ Action=RecordOpinion&image=42&ring=1&opinion=approve") != 1 {
+			t.Errorf("voted by %q", l.Asked())
 		}
 	}
 	silent, gone := newBox(t, mute), listen(t)
 	gone.Close()
-	for addr, want := range map[string]brain.Outcome{silent.addr(): brain.TimedOut, gone.Addr().String(): brain.NoConnect} {
+	for addr, want := range map[string]brain.Outcome{silent.Addr(): brain.TimedOut, gone.Addr().String(): brain.NoConnect} {
 		r := newRig(t, time.Second, "127.0.0.1:1", addr)
 		r.launcher.call(r.ctx, r.launcher.base, brain.Vote{})
 		eventually(t, "the vote's answer", func() bool { return len(seen[brain.Staged](r.script)) == 1 })
@@ -442,19 +442,19 @@
 // A cut bulletin is opened again; a silent one is replaced, and closed only when the new one has spoken.
 func TestBulletin(t *testing.T) {
 	l := newStreamer(t, ":\n", 100*time.Millisecond, func(string) string { return bulletin(42, 0, "testing", 0.1) })
-	r := newRig(t, time.Second, "127.0.0.1:1", l.addr())
+	r := newRig(t, time.Second, "127.0.0.1:1", l.Addr())
 	go r.launcher.Serve(r.ctx)
 	told := func(n int) func() bool { return func() bool { return len(seen[brain.Staged](r.script)) == n } }
 	eventually(t, "the state at once", told(1))
-	l.tell("event: OTHER\ndata: image=1\n\n" + bulletin(42, 1, "recalling", 0))
+	l.Tell("event: OTHER\ndata: image=1\n\n" + bulletin(42, 1, "recalling", 0))
 	eventually(t, "news", told(2))
 	for i, spoilt := range []string{"event: ROLLOUT\ndata: image=x&ring=0\n\n", "noise\n", "event: ROLLOUT\ndata: image=42&ring=1&progress=testing&ceiling=0.2"} {
-		if l.tell(spoilt); strings.HasPrefix(spoilt, "event") && !strings.HasSuffix(spoilt, "\n") {
-			l.cut() // what is cut off may read as another, and is none
+		if l.Tell(spoilt); strings.HasPrefix(spoilt, "event") && !strings.HasSuffix(spoilt, "\n") {
+			l.Cut() // what is cut off may read as another, and is none
 		}
 		eventually(t, "the state on a new stream", told(3+i))
 	}
-	l.mute(true)
+	l.Mute(true)
 	eventually(t, "another stream beside the silent one", told(6))
 	if s := seen[brain.Staged](r.script); s[1].Phase != brain.GoingBack || s[1].Stage != 1 || s[1].Age != 9000 || s[1].Answer {
 		t.Errorf("told as %+v", s[1])
@@ -530,9 +530,9 @@
 func TestBreakTakesIdleAlong(t *testing.T) {
 	b := newBox(t, answers(ok("done")))
 	r := newRig(t, time.Second, "127.0.0.1:1", "127.0.0.1:1")
-	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.addr(), Site: "suva", Health: "active"}}})
+	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.Addr(), Site: "suva", Health: "active"}}})
 	gate := make(chan struct{})
-	b.then(func(c net.Conn, nth int) bool {
+	b.Then(func(c net.Conn, nth int) bool {
 		if nth == 2 {
 			close(gate)
 		}
@@ -544,7 +544,7 @@
 		both.Go(func() { r.send(t, id+1, posting, patience) })
 	}
 	both.Wait()
-	b.then(hangUp)
+	b.Then(hangUp)
 	r.send(t, 3, posting, time.Second)
-	eventually(t, "the end of both connections", func() bool { return b.ended() == 2 })
+	eventually(t, "the end of both connections", func() bool { return b.Ended() == 2 })
 }
--- a/sockets/front.go
+++ b/sockets/front.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"switchfork/brain"
+	"switchfork/door"
 )
 
 // This file owns the clients' side: httputil.ReverseProxy before a RoundTripper that hands each txn to the module's
@@ -36,7 +37,9 @@
 	holdOff brain.Micros
 	purse   *Purse
 	server  *http.Server
-	door    *door
+	porch   *porch
+	gate    *Gate // nil: no door
+	who     WhoAsks
 	drains  atomic.Bool
 	ids     ids
 }
@@ -91,14 +94,14 @@
 	proxy := &httputil.ReverseProxy{Transport: f, ErrorLog: quiet, ErrorHandler: f.failed,
 		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host }, BufferPool: &buffers{},
 		ModifyResponse: func(r *http.Response) error {
-			if f.door.waits.CompareAndSwap(true, false) {
+			if f.porch.waits.CompareAndSwap(true, false) {
 				r.Header.Set("Connection", "close")
 			}
 			return nil
 		}}
-	f.door = newDoor(core, purse)
+	f.porch = newPorch(core, purse)
 	f.server = &http.Server{ErrorLog: quiet, ReadHeaderTimeout: headWait, ReadTimeout: sendWait,
-		WriteTimeout: exchangeWait, IdleTimeout: idleWait, MaxHeaderBytes: headLimit, ConnState: f.door.state,
+		WriteTimeout: exchangeWait, IdleTimeout: idleWait, MaxHeaderBytes: headLimit, ConnState: f.porch.state,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/_health" {
@@ -119,6 +122,26 @@
 	return f
 }
 
+// WhoAsks tells a tenant's clients apart: by a header of the operator's, by the connection, or by the address.
+type WhoAsks struct {
+	Header     string
+	Connection bool
+}
+
+// Behind puts a door before the module. It is to be called before Serve.
+func (f *Front) Behind(gate *Gate, who WhoAsks) { f.gate, f.who = gate, who }
+
+// client is who asks, as a number.
+func (f *Front) client(r *http.Request) uint64 {
+	if f.who.Header != "" {
+		return hash64(r.Header.Get(f.who.Header))
+	}
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil && !f.who.Connection {
+		return hash64(host)
+	}
+	return hash64(r.RemoteAddr)
+}
+
 type connKey struct{}
 
 // waited is how long ago a request's last byte came in, by the kernel's count: one that stood in a queue while the
@@ -187,7 +210,7 @@
 	}
 	at := time.Now().Add(-waited(r))
 	defer f.open.Add(-1)
-	if n, most := f.open.Add(1), min(f.most, f.purse.Txns()); n > int64(most) {
+	if n, most := f.open.Add(1), min(f.most, f.purse.Txns()); f.gate == nil && n > int64(most) {
 		complaints.warn("open", "no room for another txn", "most", most)
 		// As over the told cap: sent back before the module has it. It is a jam, so no one should be back soon.
 		return reply{refused: true, holdOff: f.holdOff}.response(r), nil
@@ -204,13 +227,22 @@
 	}
 	t := &open{parcel: pack(r.Method, target, r.Host, r.Header, body), reply: make(chan reply, 1), expires: at.Add(o.wait), done: func() { f.ids.free(name) }}
 	id := f.lastID.Add(1)
-	f.core.box.put(arrived{brain.Taken{ID: id, Product: o.product, Customer: o.customer, Key: o.key,
-		Expires: f.core.clock.at(t.expires), Work: o.work, Repeat: o.repeat}, t})
+	taken := brain.Taken{ID: id, Product: o.product, Customer: o.customer, Key: o.key,
+		Expires: f.core.clock.at(t.expires), Work: o.work, Repeat: o.repeat}
+	leave := func() { f.core.box.put(brain.Abandoned{ID: id}) }
+	if f.gate == nil {
+		f.core.box.put(arrived{taken, t})
+	} else {
+		taken.Came = f.core.clock.at(at)
+		leave = func() { f.gate.box.put(left{id}) }
+		f.gate.box.put(knock{door.Arrival{ID: id, Tenant: o.customer, Client: f.client(r), Product: o.product, Key: o.mark,
+			Repeat: o.repeat, Work: o.work, Expires: taken.Expires, Bytes: len(t.parcel.head) + len(body)}, taken, t})
+	}
 	select {
 	case said := <-t.reply:
 		return said.response(r), nil
 	case <-r.Context().Done():
-		f.core.box.put(brain.Abandoned{ID: id})
+		leave()
 		return nil, r.Context().Err()
 	}
 }
@@ -260,13 +292,13 @@
 	if err != nil {
 		return err
 	}
-	f.door.Listener = l
+	f.porch.Listener = l
 	return nil
 }
 
 // Serve takes clients until Drain has ended.
 func (f *Front) Serve() error {
-	if err := f.server.Serve(f.door); !errors.Is(err, http.ErrServerClosed) {
+	if err := f.server.Serve(f.porch); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -279,6 +311,9 @@
 func (f *Front) Drain(ctx context.Context) error {
 	f.drains.Store(true)
 	f.server.SetKeepAlivesEnabled(false)
+	if until, is := ctx.Deadline(); is && f.gate != nil {
+		f.gate.box.put(drain{until})
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(comeStill):
@@ -286,11 +321,11 @@
 	return f.server.Shutdown(ctx)
 }
 
-// door lets clients in while there are descriptors. With none, the client that has been idle longest is retired, or the
+// porch lets clients in while there are descriptors. With none, the client that has been idle longest is retired, or the
 // next answer ends its connection: one for each that waits, or those with an open connection would be served over and
 // over while one in the kernel's queue waits unread until its time is over. That every answer ends its connection when
 // few are left was tried: all clients came back on new ones, which cost more than there was.
-type door struct {
+type porch struct {
 	net.Listener
 	purse *Purse
 	core  *Core
@@ -302,14 +337,14 @@
 	waits atomic.Bool // a client waits for another's place
 }
 
-func newDoor(core *Core, purse *Purse) *door {
-	return &door{core: core, purse: purse, fresh: map[net.Conn]time.Time{}, idle: map[net.Conn]time.Time{}, in: map[net.Conn]bool{}}
+func newPorch(core *Core, purse *Purse) *porch {
+	return &porch{core: core, purse: purse, fresh: map[net.Conn]time.Time{}, idle: map[net.Conn]time.Time{}, in: map[net.Conn]bool{}}
 }
 
 // doorWait is how often a waiting door looks for clients that have fallen idle: a small part of any SLA time.
 const doorWait = 5 * time.Millisecond
 
-func (d *door) Accept() (net.Conn, error) {
+func (d *porch) Accept() (net.Conn, error) {
 	for !d.purse.client() {
 		d.waits.Store(true)
 		d.makeRoom()
@@ -335,7 +370,7 @@
 
 // makeRoom retires the clients that came and said nothing, or else the one that has been idle longest, and lets appliances drop what they don't use. The
 // server's wait for a request is made to fail: closing would throw away what has been read.
-func (d *door) makeRoom() {
+func (d *porch) makeRoom() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if now := time.Now(); now.Sub(d.asked) >= trimIdle {
@@ -358,7 +393,7 @@
 }
 
 // retire ends the client's connection that has been idle longest, unless the server may not have begun to wait on it.
-func (d *door) retire() {
+func (d *porch) retire() {
 	var oldest net.Conn
 	for c, since := range d.idle {
 		if oldest == nil || since.Before(d.idle[oldest]) {
@@ -372,7 +407,7 @@
 }
 
 // state is told by the server; a closed connection's place is free again.
-func (d *door) state(c net.Conn, s http.ConnState) {
+func (d *porch) state(c net.Conn, s http.ConnState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.idle, c)
--- /dev/null
+++ b/sockets/gate.go
@@ -0,0 +1,203 @@
+package sockets
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"switchfork/brain"
+	"switchfork/door"
+)
+
+// This file owns the door's actor: its mailbox, its bell, and who gets each of its orders. It stands between the clients'
+// side and the module's actor. It must never decide who goes in, when, or how long someone is sent away for.
+
+// What the others put into the gate's mailbox.
+type (
+	knock struct {
+		door.Arrival
+		taken brain.Taken
+		*open
+	}
+	found struct{ id uint64 } // the module has sent it
+	over  struct {
+		id  uint64
+		how door.How
+	}
+	left    struct{ id uint64 } // its client has gone
+	drain   struct{ until time.Time }
+	reshare struct{ shares []door.Tenant }
+	ask     struct{ answer chan Standing }
+	sum     struct{ done chan struct{} } // writes the last line of figures
+)
+
+// alsoTo asks the core to answer a txn's next try with its answer.
+type alsoTo struct {
+	first uint64
+	open  *open
+}
+
+// Standing is what the door has in hand and has done.
+type Standing struct {
+	door.State
+	door.Count
+}
+
+// Gate is the door's actor.
+type Gate struct {
+	door  *door.Door
+	clock Clock
+	core  *Core
+	box   *mailbox[any]
+	known map[uint64]knock // at the door, not in
+	in    map[uint64]bool
+	last  Standing // what the log has had
+}
+
+// NewGate puts a door before the core.
+func NewGate(d *door.Door, clock Clock, core *Core) *Gate {
+	return &Gate{door: d, clock: clock, core: core, box: newMailbox[any](), known: map[uint64]knock{}, in: map[uint64]bool{}}
+}
+
+// figuresEvery is how often the log gets the door's figures, while anything happens there.
+const figuresEvery = 10 * time.Second
+
+// Serve empties the mailbox until the end.
+func (g *Gate) Serve(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	figures := time.NewTicker(figuresEvery)
+	defer figures.Stop()
+	var notes []any
+	for {
+		wait := time.Hour
+		if next := g.door.Next(); next > 0 {
+			wait = time.Duration(next-g.clock.now()) * time.Microsecond
+		}
+		timer.Reset(max(0, wait))
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-g.box.bell:
+		case <-figures.C:
+			g.log()
+		}
+		notes = g.box.take(notes)
+		for _, n := range notes {
+			g.note(n)
+		}
+		if next := g.door.Next(); next > 0 && next <= g.clock.now() {
+			g.carryOut(g.door.Bell(g.clock.now()))
+		}
+	}
+}
+
+func (g *Gate) note(n any) {
+	now := g.clock.now()
+	switch n := n.(type) {
+	case knock:
+		g.known[n.ID] = n
+		g.carryOut(g.door.Arrive(now, n.Arrival))
+	case found:
+		g.carryOut(g.door.Sent(now, n.id))
+	case over:
+		delete(g.in, n.id)
+		g.carryOut(g.door.Ended(now, n.id, n.how))
+	case left:
+		if g.in[n.id] { // the core tells when nothing of it is out any more
+			g.core.box.put(brain.Abandoned{ID: n.id})
+			return
+		}
+		g.forget(n.id)
+		g.carryOut(g.door.Gone(now, n.id))
+	case drain:
+		g.carryOut(g.door.Drain(now, g.clock.at(n.until)))
+	case reshare:
+		g.door.Reshare(n.shares)
+	case sum:
+		g.log()
+		close(n.done)
+	case ask:
+		n.answer <- Standing{g.door.State(), g.door.Count}
+	}
+}
+
+func (g *Gate) forget(id uint64) (k knock, was bool) {
+	if k, was = g.known[id]; was {
+		delete(g.known, id)
+		if k.done != nil {
+			k.done()
+		}
+	}
+	return k, was
+}
+
+func (g *Gate) carryOut(orders []door.Order) {
+	for _, o := range orders {
+		switch o.Kind {
+		case door.Admit:
+			k := g.known[o.ID]
+			delete(g.known, o.ID)
+			g.in[o.ID] = true
+			id, free := o.ID, k.done
+			k.sent = func() { g.box.put(found{id}) }
+			k.done = func() {
+				if free != nil {
+					free()
+				}
+				g.box.put(over{id, k.open.how})
+			}
+			g.core.box.put(arrived{k.taken, k.open})
+		case door.Refuse:
+			if k, was := g.forget(o.ID); was {
+				k.reply <- reply{refused: true, holdOff: o.Wait}
+			}
+		case door.Share:
+			if k, was := g.forget(o.ID); was {
+				g.core.box.put(alsoTo{o.First, k.open})
+			}
+		}
+	}
+}
+
+// log writes a line of figures where anything has happened since the last.
+func (g *Gate) log() {
+	now := Standing{g.door.State(), g.door.Count}
+	if now.Arrived != g.last.Arrived || now.Waiting > 0 {
+		journal(now, g.last)
+	}
+	g.last = now
+}
+
+// Close writes the last figures.
+func (g *Gate) Close(ctx context.Context) {
+	done := make(chan struct{})
+	g.box.put(sum{done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Standing asks for what is in hand.
+func (g *Gate) Standing(ctx context.Context) (s Standing) {
+	answer := make(chan Standing, 1)
+	g.box.put(ask{answer})
+	select {
+	case s = <-answer:
+	case <-ctx.Done():
+	}
+	return s
+}
+
+// Reshare puts other weights in force.
+func (g *Gate) Reshare(shares []door.Tenant) { g.box.put(reshare{shares}) }
+
+// journal writes the door's figures: levels as they are, counts since the last line.
+func journal(now, last Standing) {
+	slog.Info("door", "in", now.In, "limit", int(now.Limit), "waiting", now.Waiting, "kib", now.Bytes>>10,
+		"arrived", now.Arrived-last.Arrived, "admitted", now.Admitted-last.Admitted, "joined", now.Joined-last.Joined,
+		"toolate", now.Refused[door.TooLate]-last.Refused[door.TooLate], "noroom", now.Refused[door.NoRoom]-last.Refused[door.NoRoom],
+		"promised", now.Promised-last.Promised, "kept", now.Kept-last.Kept, "broken", now.Broken-last.Broken,
+		"unclaimed", now.Unclaimed-last.Unclaimed)
+}
--- /dev/null
+++ b/standin/appliance.go
@@ -0,0 +1,83 @@
+package standin
+
+import (
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Appliance is a ledger appliance on loopback: so many txns at a time, so much work for each, a queue with a bound. Its
+// speed and failures may change while it serves.
+type Appliance struct {
+	Name   string
+	Build  int
+	slots  chan struct{}
+	queue  int64 // that wait at the most
+	held   atomic.Int64
+	work   time.Duration
+	slow   atomic.Int64 // per mille of its usual work
+	fails  atomic.Int64 // per mille of what it gets
+	served atomic.Int64
+	l      net.Listener
+	srv    *http.Server
+	mu     sync.Mutex
+	chance *rand.Rand
+}
+
+// NewAppliance starts one.
+func NewAppliance(name string, build, slots int, work time.Duration, seed int64) (*Appliance, error) {
+	l, err := Listen()
+	if err != nil {
+		return nil, err
+	}
+	a := &Appliance{Name: name, Build: build, slots: make(chan struct{}, slots), queue: int64(8 * slots), work: work, l: l,
+		chance: rand.New(rand.NewSource(seed))}
+	a.slow.Store(1000)
+	a.srv = &http.Server{Handler: http.HandlerFunc(a.serve), IdleTimeout: 30 * time.Second}
+	go a.srv.Serve(l)
+	return a, nil
+}
+
+func (a *Appliance) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/ping" || r.URL.Path == "/_load" {
+		io.WriteString(w, "ok")
+		return
+	}
+	io.Copy(io.Discard, r.Body)
+	if a.held.Add(1) > int64(cap(a.slots))+a.queue {
+		a.held.Add(-1)
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer a.held.Add(-1)
+	a.slots <- struct{}{}
+	a.mu.Lock()
+	took, luck := a.chance.ExpFloat64(), a.chance.Int63n(1000)
+	a.mu.Unlock()
+	time.Sleep(time.Duration(took * float64(a.work) * float64(a.slow.Load()) / 1000))
+	<-a.slots
+	if luck < a.fails.Load() {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	a.served.Add(1)
+	body := r.Header.Get("X-Request-Id") + " " + strconv.Itoa(a.Build)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	io.WriteString(w, body)
+}
+
+// Slow makes each txn take so many times its work; Fail makes a share of them fail.
+func (a *Appliance) Slow(times float64)  { a.slow.Store(int64(1000 * times)) }
+func (a *Appliance) Fail(share float64)  { a.fails.Store(int64(1000 * share)) }
+func (a *Appliance) Served() int64       { return a.served.Load() }
+func (a *Appliance) Addr() string        { return a.l.Addr().String() }
+func (a *Appliance) Row(h string) string { return Host(a.Name, a.Addr(), h, a.Build) }
+
+// Close ends it.
+func (a *Appliance) Close() { a.srv.Close() }
--- /dev/null
+++ b/standin/clients.go
@@ -0,0 +1,181 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Tally is what became of one tenant's txns.
+type Tally struct {
+	Offered, Settled, InTime, Declined, Failed, Back int
+	Builds                                           map[string]int
+}
+
+// Crew is a tenant's clients: an open load, whose arrivals do not wait for answers.
+type Crew struct {
+	Tenant  string
+	Rate    float64 // txns a second
+	Posting float64 // the part that posts
+	Fresh   bool    // every txn from a client of its own
+}
+
+// Clients send for crews and keep the account.
+type Clients struct {
+	url      string
+	sla      time.Duration
+	expiry   time.Duration
+	client   *http.Client
+	mu       sync.Mutex
+	tallies  map[string]*Tally
+	took     *hdrhistogram.Histogram
+	serial   atomic.Int64
+	inflight sync.WaitGroup
+}
+
+// clientConns bounds the connections of all clients together, a part of what an agent with 1,024 descriptors lets in.
+const clientConns, backTries = 400, 2
+
+func NewClients(url string, sla, expiry time.Duration) *Clients {
+	t := &http.Transport{MaxConnsPerHost: clientConns, MaxIdleConnsPerHost: clientConns, IdleConnTimeout: time.Second,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+	return &Clients{url: url, sla: sla, expiry: expiry, client: &http.Client{Transport: t}, tallies: map[string]*Tally{},
+		took: hdrhistogram.New(1, 60_000_000, 3)}
+}
+
+// Send runs the crews' load until the context ends, and then waits for the last answers.
+func (c *Clients) Send(ctx context.Context, seed int64, crews ...Crew) {
+	var senders sync.WaitGroup
+	for i, crew := range crews {
+		senders.Add(1)
+		go func() {
+			defer senders.Done()
+			chance := rand.New(rand.NewSource(seed + int64(i)))
+			next := time.Now()
+			for n := 0; ; n++ {
+				next = next.Add(time.Duration(chance.ExpFloat64() / crew.Rate * float64(time.Second)))
+				select {
+				case <-ctx.Done():
+					return
+				case <-time.After(time.Until(next)):
+				}
+				client := strconv.Itoa(n % 10)
+				if crew.Fresh {
+					client = fmt.Sprint("fresh-", n)
+				}
+				post := chance.Float64() < crew.Posting
+				c.inflight.Add(1)
+				go func() {
+					defer c.inflight.Done()
+					c.ask(crew.Tenant, client, post)
+				}()
+			}
+		}()
+	}
+	senders.Wait()
+	c.inflight.Wait()
+}
+
+// ask is one txn with its next tries.
+func (c *Clients) ask(tenant, client string, post bool) {
+	serial := c.serial.Add(1)
+	key := fmt.Sprintf("%032x", serial)
+	c.count(tenant, func(t *Tally) { t.Offered++ })
+	for try := 0; try <= backTries; try++ {
+		began := time.Now()
+		method, target := "GET", fmt.Sprintf("/lookup?sid=%016x", serial)
+		if post {
+			method, target = "POST", fmt.Sprintf("/posting?sid=%016x", serial)
+		}
+		ctx, stop := context.WithTimeout(context.Background(), c.expiry+time.Second)
+		r, _ := http.NewRequestWithContext(ctx, method, c.url+target, nil)
+		if post {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader("beam=1")), 6
+			r.Header.Set("Idempotency-Key", key)
+		}
+		r.Header.Set("X-Request-Id", fmt.Sprintf("%x-%d", serial, try))
+		r.Header.Set("X-Tenant", tenant)
+		r.Header.Set("X-Client", client)
+		r.Header.Set("X-Deadline-Ms", strconv.FormatInt(c.expiry.Milliseconds(), 10))
+		if try > 0 {
+			r.Header.Set("X-Retry", "1")
+		}
+		res, err := c.client.Do(r)
+		if err != nil {
+			stop()
+			c.count(tenant, func(t *Tally) { t.Failed++ })
+			return
+		}
+		body, _ := io.ReadAll(res.Body)
+		res.Body.Close()
+		stop()
+		took := time.Since(began)
+		switch {
+		case res.StatusCode == http.StatusOK:
+			_, build, _ := strings.Cut(string(body), " ")
+			c.count(tenant, func(t *Tally) {
+				t.Settled++
+				t.Builds[build]++
+				if took <= c.sla {
+					t.InTime++
+				}
+				c.took.RecordValue(took.Microseconds())
+			})
+			return
+		case res.StatusCode == http.StatusServiceUnavailable:
+			wait, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+			if err != nil || try == backTries {
+				c.count(tenant, func(t *Tally) { t.Declined++ })
+				return
+			}
+			time.Sleep(time.Duration(wait * float64(time.Second)))
+			c.count(tenant, func(t *Tally) { t.Back++ })
+		default:
+			c.count(tenant, func(t *Tally) { t.Failed++ })
+			return
+		}
+	}
+}
+
+func (c *Clients) count(tenant string, what func(*Tally)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tallies[tenant]
+	if t == nil {
+		t = &Tally{Builds: map[string]int{}}
+		c.tallies[tenant] = t
+	}
+	what(t)
+}
+
+// Tally is what became of a tenant's txns so far.
+func (c *Clients) Tally(tenant string) Tally {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.tallies[tenant]; t != nil {
+		copied := *t
+		copied.Builds = map[string]int{}
+		for b, n := range t.Builds {
+			copied.Builds[b] = n
+		}
+		return copied
+	}
+	return Tally{Builds: map[string]int{}}
+}
+
+// Took is a quantile, in percent, of the settled answers' times.
+func (c *Clients) Took(percent float64) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(c.took.ValueAtQuantile(percent)) * time.Microsecond
+}
--- /dev/null
+++ b/standin/protocol.go
@@ -0,0 +1,263 @@
+// Package standin holds the parties of the users' protocol, written from its page, for tests and experiments on loopback:
+// appliances, discovery, launcher and clients, with scripted behaviour. They decide nothing for the agent.
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Listen takes a free port of loopback.
+func Listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+
+// Copy is one request as an appliance got it.
+type Copy struct {
+	Line, Body string
+	Header     http.Header
+	Conn       int // which connection, from 1
+}
+
+// Box is a stand-in for an appliance: it notes each whole request, then does as it is told.
+type Box struct {
+	net.Listener
+	mu     sync.Mutex
+	copies []Copy
+	conns  int
+	closed int // connections that are over
+	do     func(c net.Conn, nth int) bool
+}
+
+// Answers writes a text and keeps the connection.
+func Answers(text string) func(net.Conn, int) bool {
+	return func(c net.Conn, _ int) bool { _, err := io.WriteString(c, text); return err == nil }
+}
+
+// OK is a whole answer with a body.
+func OK(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// HangUp ends the connection.
+func HangUp(net.Conn, int) bool { return false }
+
+// Silent says nothing until the agent ends the connection.
+func Silent(c net.Conn, _ int) bool { io.Copy(io.Discard, c); return false }
+
+func NewBox(l net.Listener, do func(c net.Conn, nth int) bool) *Box {
+	b := &Box{Listener: l, do: do}
+	go func() {
+		for {
+			c, err := b.Accept()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			b.conns++
+			n := b.conns
+			b.mu.Unlock()
+			go b.serve(c, n)
+		}
+	}()
+	return b
+}
+
+func (b *Box) serve(c net.Conn, n int) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			b.mu.Lock()
+			b.closed++
+			b.mu.Unlock()
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.copies = append(b.copies, Copy{req.Method + " " + req.RequestURI, string(body), req.Header, n})
+		nth, do := len(b.copies), b.do
+		b.mu.Unlock()
+		if !do(c, nth) {
+			b.mu.Lock()
+			b.closed++
+			b.mu.Unlock()
+			return
+		}
+	}
+}
+
+func (b *Box) Got() []Copy {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Copy(nil), b.copies...)
+}
+
+func (b *Box) Ended() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.closed
+}
+
+func (b *Box) Then(do func(net.Conn, int) bool) {
+	b.mu.Lock()
+	b.do = do
+	b.mu.Unlock()
+}
+
+// Addr hides the listener's, which is no string.
+func (b *Box) Addr() string { return b.Listener.Addr().String() }
+
+// Streamer is a stand-in for a party that keeps an answer open: discovery's watch, the launcher's bulletin.
+type Streamer struct {
+	net.Listener
+	mu    sync.Mutex
+	asked []string // method, path and query, and the body
+	open  []chan string
+	first func(asked string) string // what a stream or a call is answered at once
+	quiet bool                      // no signs of life
+	gone  int                       // streams that the other side has ended
+	srv   *http.Server
+}
+
+func NewStreamer(l net.Listener, sign string, every time.Duration, first func(asked string) string) *Streamer {
+	s := &Streamer{Listener: l, first: first}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		asked := strings.TrimSpace(r.Method + " " + r.RequestURI + " " + string(body))
+		lines := make(chan string, 64)
+		s.mu.Lock()
+		s.asked = append(s.asked, asked)
+		stays := r.Method == "GET" && !strings.HasSuffix(r.URL.Path, "members") || r.URL.Query().Get("stream") != ""
+		if stays {
+			s.open = append(s.open, lines)
+		}
+		text := s.first(asked)
+		s.mu.Unlock()
+		if code, rest, found := strings.Cut(text, "|"); found {
+			status := 0
+			fmt.Sscan(code, &status)
+			w.WriteHeader(status)
+			text = rest
+		}
+		io.WriteString(w, text)
+		w.(http.Flusher).Flush()
+		for stays {
+			select {
+			case text, more := <-lines:
+				if !more {
+					return
+				}
+				io.WriteString(w, text)
+			case <-time.After(every):
+				s.mu.Lock()
+				if !s.quiet {
+					io.WriteString(w, sign)
+				}
+				s.mu.Unlock()
+			case <-r.Context().Done():
+				s.mu.Lock()
+				s.gone++
+				s.mu.Unlock()
+				return
+			}
+			w.(http.Flusher).Flush()
+		}
+	})}
+	go srv.Serve(s.Listener)
+	s.srv = srv
+	return s
+}
+
+// Calls counts what was asked with a text in it.
+func (s *Streamer) Calls(with string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.asked {
+		if strings.Contains(a, with) {
+			n++
+		}
+	}
+	return n
+}
+
+// Tell writes to the stream opened last; Cut ends it.
+func (s *Streamer) Tell(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[len(s.open)-1] <- text
+}
+
+func (s *Streamer) Cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.open[len(s.open)-1])
+	s.open = s.open[:len(s.open)-1]
+}
+
+func (s *Streamer) Left() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gone
+}
+
+func (s *Streamer) Mute(yes bool) {
+	s.mu.Lock()
+	s.quiet = yes
+	s.mu.Unlock()
+}
+
+// Close ends it.
+func (s *Streamer) Close() { s.srv.Close() }
+
+func (s *Streamer) Addr() string { return s.Listener.Addr().String() }
+
+// Host is a row of the list, as discovery writes it.
+func Host(name, dial, health string, build int) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"suva","class":"m","block":1,"health":%q,"share":1.0,"born_ms":0,"build":%d}`,
+		name, dial, health, build)
+}
+
+// Line is a line of the list.
+func Line(seq int, whole bool, hosts ...string) string {
+	return fmt.Sprintf(`{"seq":%d,"whole":%v,"hosts":[%s]}`, seq, whole, strings.Join(hosts, ",")) + "\n"
+}
+
+// Bulletin is the launcher's news.
+func Bulletin(image, ring int, progress string, ceiling float64) string {
+	return fmt.Sprintf("event: ROLLOUT\ndata: image=%d&ring=%d&progress=%s&ceiling=%g&lag_ms=9\n\n", image, ring, progress, ceiling)
+}
+
+// Asked is all that was asked, in order.
+func (s *Streamer) Asked() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.asked...)
+}
+
+// Open is the number of streams that stand.
+func (s *Streamer) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// Say writes to all streams that stand; Tell writes to the last one only.
+func (s *Streamer) Say(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, lines := range s.open {
+		select {
+		case lines <- text:
+		default: // a reader that is so far behind gets the whole when it comes again
+		}
+	}
+}
