Small builds are weighed by appliance again, large ones by one sum; pause by the build's part

May be slow on a large build that fails on few machines.

The door's bound by measured memory a txn.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -685,15 +685,24 @@
 	if on == lateness {
 		step *= min(1, float64(j.seen)/float64(ripe)) // the first late ones may all be of one queue
 		// It saves up half of its part of what the ratio counts, so that failures beside it are still seen.
-		a.put(say{late: step, least: -(crossing + 1) / 2 / float64(j.fleet.heard(a))})
+		a.put(say{late: step, least: -(crossing + 1) / 2 / j.parts(a)})
 		return
 	}
-	a.put(say{step: step, least: -(crossing + 1) / float64(j.fleet.heard(a))})
+	a.put(say{step: step, least: -(crossing + 1) / j.parts(a)})
 	// One appliance of a large build adds no more than one error; past it its good outcomes do not count either.
 	most := math.Log(times)
 	j.sum = max(j.sum+min(a.fails+step, most)-min(a.fails, most), -crossing-1)
 }
 
+// parts is into how many the saved up crossing is parted: a build's appliances, so that all must have spoken
+// to go on early; of a large build those heard, as one of many agents meets few of them.
+func (j *judge) parts(a *appliance) float64 {
+	if n := j.fleet.count(a.Build); n <= largeBuild {
+		return float64(max(1, n))
+	}
+	return float64(j.fleet.heard(a))
+}
+
 // largeBuild: over so many appliances failures are one sum, good outcomes saved up to the crossing in all. By
 // appliance each saves up a small part of an error there, and of errors that come everywhere most count as
 // failing; in a smaller build the sum is too slow: the few errors met have all good outcomes against them.
@@ -705,11 +714,12 @@
 // ratio adds up what the build's appliances say, on failures and on lateness apart, each bounded: a bad build
 // fails, and is late, on most alike. Neither is saved up past the crossing: a build may turn bad late.
 func (j *judge) ratio() float64 {
-	var saids, lates, lags []float64
+	var saids, lates, lags, good []float64
 	around := j.fleet.failing(j.build, errMost) // then machines that fail here are no sign of the build
 	for _, a := range j.fleet.all {             // those never heard of say nothing
 		if a.ready() && a.Build == j.build && a.spoke && !(around && a.errs > errSome) {
 			saids, lates, lags = append(saids, a.said), append(lates, a.late), append(lags, a.lag)
+			good = append(good, a.said+min(0, a.lag))
 		}
 	}
 	failing, late := bounded(saids), bounded(lags)
@@ -719,8 +729,11 @@
 	if len(lates) > 1 && (j.sits || j.seen >= leastSeen*len(lates)) && lower(lates) <= 0 {
 		late = min(late, 0) // half are not late: it is some machines, or their load
 	}
-	if failing > 0 {
+	switch {
+	case failing > 0:
 		late = max(late, 0) // quick answers do not speak for a build that fails
+	case late <= 0 && len(saids) <= largeBuild:
+		return bounded(good) // nor twice for one that does not: all appliances must have spoken to go on early
 	}
 	return failing + late
 }
@@ -752,8 +765,10 @@
 	// doseFade: the build's part of the answers, over the last fifty.
 	doseFade   = 0.02
 	wholeFleet = 0.85 // with fewer appliances than this part of the calm's, the rest are slow for that reason
-	// dragHolds back a release, dragPauses a stage before; dragLasts outlives most passing jams.
-	dragHolds, dragPauses, dragLasts = 0.5e6, 0.3e6, 9e6
+	// dragHolds back a release, dragPauses a stage before, where the build answers pausesFrom of the txns: with
+	// less it is more likely a jam of something else. dragLasts outlives most passing jams.
+	pausesFrom                       = 0.15
+	dragHolds, dragPauses, dragLasts = 0.5e6, 0.2e6, 9e6
 	// doneSpan and calmSpan: completions are averaged over these times.
 	doneSpan, calmSpan = 3 * second, 10 * second
 	// settleAfter its release, a build counts as part of the calm.
@@ -818,7 +833,7 @@
 		return NoVote
 	case j.polling.Ballot == BallotTimer && ratio > holdAbove:
 		return Hold
-	case j.polling.Ballot == BallotTimer, drags && !last && j.slow >= dragPauses,
+	case j.polling.Ballot == BallotTimer, drags && !last && j.slow >= dragPauses && j.dose >= pausesFrom,
 		last && (drags && j.slow >= dragHolds || j.share < shareDone):
 		return NoVote
 	}
--- a/door/door.go
+++ b/door/door.go
@@ -45,8 +45,8 @@
 }
 
 // memoryPart of the memory is for those at the door and in; half of that for what they send. ticketBytes is what a txn
-// holds beside it: two goroutines and their buffers, measured at 14 KiB on loopback.
-const memoryPart, ticketBytes = 4, 20 << 10
+// holds beside it, garbage included: on loopback an agent with 730 connections held 50 MB more than a quiet one.
+const memoryPart, ticketBytes = 4, 64 << 10
 
 // Waits are the told limits of come-back times; Most 0: clients are told none.
 type Waits struct{ Most Micros }
--- a/standin/clients.go
+++ b/standin/clients.go
@@ -35,7 +35,7 @@
 	url      string
 	sla      time.Duration
 	expiry   time.Duration
-	client   *http.Client
+	pools    map[string]*http.Client // each tenant's clients have connections of their own
 	mu       sync.Mutex
 	tallies  map[string]*Tally
 	took     *hdrhistogram.Histogram
@@ -43,16 +43,30 @@
 	inflight sync.WaitGroup
 }
 
-// clientConns bounds the connections of all clients together, a part of what an agent with 1,024 descriptors lets in.
-const clientConns, backTries = 400, 2
+// quietConns and loudConns bound a tenant's connections, so that all tenants' together are a part of what an agent with
+// 1,024 descriptors lets in: a tenant that sends over loudRate gets the larger number.
+const quietConns, loudConns, loudRate, backTries = 50, 400, 400.0, 2
 
 func NewClients(url string, sla, expiry time.Duration) *Clients {
-	t := &http.Transport{MaxConnsPerHost: clientConns, MaxIdleConnsPerHost: clientConns, IdleConnTimeout: time.Second,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
-	return &Clients{url: url, sla: sla, expiry: expiry, client: &http.Client{Transport: t}, tallies: map[string]*Tally{},
+	return &Clients{url: url, sla: sla, expiry: expiry, pools: map[string]*http.Client{}, tallies: map[string]*Tally{},
 		took: hdrhistogram.New(1, 60_000_000, 3)}
 }
 
+// pool is where a crew's clients have their connections.
+func (c *Clients) pool(crew Crew) *http.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	most, name := quietConns, crew.Tenant
+	if crew.Rate > loudRate {
+		most, name = loudConns, crew.Tenant+" loud"
+	}
+	if c.pools[name] == nil {
+		c.pools[name] = &http.Client{Transport: &http.Transport{MaxConnsPerHost: most, MaxIdleConnsPerHost: most,
+			IdleConnTimeout: time.Second, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+	}
+	return c.pools[name]
+}
+
 // Send runs the crews' load until the context ends, and then waits for the last answers.
 func (c *Clients) Send(ctx context.Context, seed int64, crews ...Crew) {
 	var senders sync.WaitGroup
@@ -60,7 +74,7 @@
 		senders.Add(1)
 		go func() {
 			defer senders.Done()
-			chance := rand.New(rand.NewSource(seed + int64(i)))
+			chance, pool := rand.New(rand.NewSource(seed+int64(i))), c.pool(crew)
 			next := time.Now()
 			for n := 0; ; n++ {
 				next = next.Add(time.Duration(chance.ExpFloat64() / crew.Rate * float64(time.Second)))
@@ -77,7 +91,7 @@
 				c.inflight.Add(1)
 				go func() {
 					defer c.inflight.Done()
-					c.ask(crew.Tenant, client, post)
+					c.ask(pool, crew.Tenant, client, post)
 				}()
 			}
 		}()
@@ -87,7 +101,7 @@
 }
 
 // ask is one txn with its next tries.
-func (c *Clients) ask(tenant, client string, post bool) {
+func (c *Clients) ask(pool *http.Client, tenant, client string, post bool) {
 	serial := c.serial.Add(1)
 	key := fmt.Sprintf("%032x", serial)
 	c.count(tenant, func(t *Tally) { t.Offered++ })
@@ -110,7 +124,7 @@
 		if try > 0 {
 			r.Header.Set("X-Retry", "1")
 		}
-		res, err := c.client.Do(r)
+		res, err := pool.Do(r)
 		if err != nil {
 			stop()
 			c.count(tenant, func(t *Tally) { t.Failed++ })
