--- /dev/null
+++ b/lab/world_test.go
@@ -0,0 +1,54 @@
+package lab
+
+import (
+	"reflect"
+	"testing"
+)
+
+func day() Day {
+	return Day{Seed: 3, Seconds: 8, Appliances: 6, Slots: 4, Work: 40_000, Load: 0.6, Shares: []float64{0.5, 0.3, 0.2}, Times: 1, OneOff: 200}
+}
+
+// The same day gives the same figures, whatever else runs.
+func TestSameDaySameFigures(t *testing.T) {
+	noisy := day()
+	noisy.Noisy, noisy.Times = []int{0}, 10
+	a, b := Play(noisy, Fair), Play(noisy, Fair)
+	for i := range a.Tenants {
+		a.Tenants[i].Took, b.Tenants[i].Took = nil, nil
+	}
+	if !reflect.DeepEqual(a, b) {
+		t.Errorf("one day played twice: %+v and %+v", a, b)
+	}
+}
+
+// On a quiet day nothing is turned away, and all offered are settled: the model loses nothing.
+func TestQuietDaySettlesAll(t *testing.T) {
+	for _, kind := range []Kind{Fair, NoCalendar, Fifo} {
+		for i, a := range Play(day(), kind).Tenants {
+			if a.Offered < 100 || a.Refused+a.GivenUp > 0 || a.InTime < a.Offered*99/100 {
+				t.Errorf("%s: tenant %d has %+v", kind, i, a)
+			}
+		}
+	}
+}
+
+// The others keep their service while one floods: before the door they do, before a plain line they don't, so the measure
+// can fail.
+func TestFloodIsSeenInTheModel(t *testing.T) {
+	noisy := day()
+	noisy.Noisy, noisy.Times, noisy.FreshNames = []int{0}, 20, true
+	others := func(kind Kind) (least float64) {
+		least = 1
+		for _, a := range Play(noisy, kind).Tenants[1:] {
+			least = min(least, float64(a.InTime)/float64(a.Offered))
+		}
+		return least
+	}
+	if got := others(Fair); got < 0.97 {
+		t.Errorf("before the door the others have %.3f in time", got)
+	}
+	if got := others(Fifo); got > 0.6 {
+		t.Errorf("before a line the others have %.3f in time: the flood is none", got)
+	}
+}
--- a/sockets/gate_test.go
+++ b/sockets/gate_test.go
@@ -197,3 +197,70 @@
 		t.Errorf("after a spoilt file a txn got %d", status)
 	}
 }
+
+// One tenant's flood of clients that come once, twenty times what the door holds, with the appliance standing still: another
+// tenant's txns that come last are let wait, and settled, and no one of the flood is left without an answer.
+func TestFloodOfOneOffClients(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "operator.conf")
+	if err := os.WriteFile(file, []byte("door on\ndoor-txns 48\ndoor-client header X-Client\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("SWITCHFORK_OPERATOR", file)
+	let := make(chan struct{})
+	b := newBox(t, nil)
+	b.Then(func(c net.Conn, nth int) bool { <-let; return answers(ok("yes"))(c, nth) })
+	a := launch(t, func(conf string) string {
+		conf = strings.ReplaceAll(conf, `"SloMs":600.0,"HardLimitMs":2000.0`, `"SloMs":30000.0,"HardLimitMs":60000.0`)
+		return strings.ReplaceAll(conf, `"Parties":[{"Name":"acme"}]`, `"Parties":[{"Name":"acme","Fraction":0.5},{"Name":"beqa","Fraction":0.5}]`)
+	}, host("s-1", b.Addr(), "active", 41))
+	a.healthy(t)
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 100, MaxIdleConnsPerHost: 100}}
+	ask := func(tenant string, n int) int {
+		r, _ := http.NewRequest("GET", fmt.Sprintf("%s/lookup?sid=%016x", a.url, n), nil)
+		r.Header.Set("X-Request-Id", fmt.Sprint(tenant, n))
+		r.Header.Set("X-Tenant", tenant)
+		r.Header.Set("X-Client", fmt.Sprint(tenant, n))
+		res, err := client.Do(r)
+		if err != nil {
+			t.Error(err)
+			return 0
+		}
+		res.Body.Close()
+		return res.StatusCode
+	}
+	const many, quiet = 960, 5
+	statuses := make(chan int, many)
+	for n := range many {
+		go func() { statuses <- ask("acme", n+1) }()
+	}
+	refused := 0
+	for range many - 48 { // all that the door does not hold
+		if s := <-statuses; s == 503 {
+			refused++
+		}
+	}
+	last := make(chan int, quiet)
+	for n := range quiet {
+		go func() { last <- ask("beqa", n+1) }()
+	}
+	for range quiet { // each takes the place of one of the flood
+		if s := <-statuses; s == 503 {
+			refused++
+		}
+	}
+	close(let)
+	for range quiet {
+		if s := <-last; s != 200 {
+			t.Errorf("a quiet tenant's txn got %d", s)
+		}
+	}
+	settled := 0
+	for range 48 - quiet {
+		if s := <-statuses; s == 200 {
+			settled++
+		}
+	}
+	if refused != many-48+quiet || settled != 48-quiet {
+		t.Errorf("of the flood %d were refused and %d settled, want %d and %d", refused, settled, many-48+quiet, 48-quiet)
+	}
+}
