Decider: lease by majority, decisions recorded before they are cast; experiment that can fail

Need: every agent votes alone today, and two may act on opposite verdicts within one stage; the launcher knows no terms, so it can't turn an old decider's vote away.

--- /dev/null
+++ b/decider/decider.go
@@ -0,0 +1,467 @@
+// Package decider decides which one agent of several casts the votes on a release, and what it may cast when. It owns the
+// lease, the records of decisions and what the agents wish; it must never judge a build, talk to anybody or read a clock.
+//
+// Use: make one Decider an agent with New, tell it what happens with this machine's monotonic time in whole microseconds, and
+// carry out the orders that each call returns, in order. The argument why two contrary decisions never count together stands
+// in docs/design-decider.md.
+package decider
+
+import (
+	"math/rand"
+	"slices"
+)
+
+// Micros is a time or a span in whole microseconds.
+type Micros = int64
+
+// Verdict of a vote.
+type Verdict uint8
+
+const (
+	NoVote Verdict = iota
+	On
+	Hold
+	Back
+)
+
+// Terms are what the agents agree on.
+type Terms struct {
+	Lease Micros // how long a lead lasts unless renewed
+	// Drift bounds how much faster or slower any clock runs, as a part.
+	Drift float64
+	Late  Micros // a vote that was written is carried out within this time, or never
+	Life  Micros // of a vote
+	Need  int    // how many agents must wish to go back
+}
+
+// Decision is one vote to be cast.
+type Decision struct {
+	Build, Stage int
+	Verdict      Verdict
+}
+
+// Record is a decision that a majority has been told before it is cast.
+type Record struct {
+	Term   uint64 // the ballot of its owner's lease
+	Serial uint32
+	Decision
+	Prior Verdict // what the same lead has cast before on this build and stage, which counts if this was never cast
+}
+
+func (r Record) newer(than Record) bool {
+	return r.Term > than.Term || r.Term == than.Term && r.Serial > than.Serial
+}
+
+// Kind of a message.
+type Kind uint8
+
+const (
+	Prepare  Kind = iota + 1 // may I lead?
+	Promise                  // yes, and this is the newest record that I know
+	Propose                  // I lead
+	Accepted                 // you do, as far as I am concerned
+	Write                    // know this record
+	Written                  // known
+	Wish                     // what the judge of the sender asks for
+	Yield                    // I leave: take the lead
+)
+
+// Message between agents; every field is small, so that one fits into a datagram many times over.
+type Message struct {
+	Kind   Kind
+	Ballot uint64
+	After  uint64 // of a Prepare: leases up to this ballot were given up by their owner
+	Record Record // of a Promise, Write or Written
+	Wish   Decision
+}
+
+// Order is one of the orders below.
+type Order any
+
+type (
+	// Send gives a message to another agent; it may be lost, late, doubled, or out of order.
+	Send struct {
+		To int
+		Message
+	}
+	// Cast writes a vote, unless it is later than Before by then: a process may stand still in between.
+	Cast struct {
+		Record
+		Before Micros
+	}
+)
+
+// Without switches a guard off, so that the checker can be seen to find what it guards against.
+type Without struct{ Lease, Record, Wait, Prevote bool }
+
+// Decider is one agent's part; see the package.
+type Decider struct {
+	now     Micros
+	me, all int
+	terms   Terms
+	without Without
+	chance  *rand.Rand
+	out     []Order
+
+	// As one of those who are asked.
+	promised, accepted uint64
+	owner              int
+	until              Micros // of the lease that was accepted, by this clock
+	yielded            uint64 // a ballot up to which leases were given up
+	abstain            Micros // after a restart without a memory
+	known              Record // the newest
+
+	// As one who leads, or asks to.
+	ballot   uint64
+	term     uint64 // the ballot by which the lead was got; renewals keep it
+	asked    Micros // when the ballot was begun
+	proposed bool
+	yes      map[int]bool
+	took     map[int]bool
+	leads    Micros // until then; 0: does not
+	tryAt    Micros
+
+	pending  Record // told, not written by a majority yet
+	wrote    map[int]bool
+	toldAt   Micros
+	serial   uint32
+	cast     Record
+	castAt   Micros
+	answered bool
+	earlier  Record // the newest of the leads before, as a majority knows it
+	clear    Micros // from then on nothing of an earlier lead can count
+
+	build, stage int
+	open         bool // a release is on trial
+	wishes       []wish
+}
+
+type wish struct {
+	Decision
+	at Micros
+}
+
+// New starts an agent's part at a time. fresh: it has no memory of what it promised, and abstains until nothing can count any more that it may have been told of.
+func New(me, all int, terms Terms, without Without, fresh bool, now Micros, seed int64) *Decider {
+	d := &Decider{me: me, all: all, terms: terms, without: without, chance: rand.New(rand.NewSource(seed)), now: now,
+		wishes: make([]wish, all)}
+	if fresh && !without.Lease {
+		// Whoever led by its word may cast for a lease more, and that counts for so long; what it knew of it is gone.
+		d.abstain = now + d.longer(terms.Lease+terms.Late+terms.Life)
+	}
+	d.tryAt = now + d.spread()
+	return d
+}
+
+// longer and shorter are a span by this clock that surely is, or surely is not, over by any other.
+func (d *Decider) longer(span Micros) Micros  { return Micros(float64(span) * (1 + 2*d.terms.Drift)) }
+func (d *Decider) shorter(span Micros) Micros { return Micros(float64(span) * (1 - 2*d.terms.Drift)) }
+
+// spread keeps agents from asking all at once: up to a third of a lease.
+func (d *Decider) spread() Micros {
+	return d.terms.Lease/30 + Micros(d.chance.Int63n(max(1, d.terms.Lease/3)))
+}
+
+const (
+	// renewPart of a lease is over when it is renewed: time for two more tries.
+	renewPart = 3
+	// tellAgain: a message without an answer is sent again after this part of a lease.
+	tellAgain = 15
+	// wishFor so many leases a wish counts; it is told again twice a lease.
+	wishFor = 2
+	// renewVote: a vote is cast again when this part of its life is over.
+	renewVote = 0.66
+)
+
+func (d *Decider) majority(of map[int]bool) bool { return len(of) > d.all/2 }
+
+// Leads tells whether this agent may cast now.
+func (d *Decider) Leads(now Micros) bool { return now < d.leads || d.without.Lease && d.leads > 0 }
+
+// Term is the ballot of the lead in hand, 0 without one.
+func (d *Decider) Term() uint64 {
+	if d.leads == 0 {
+		return 0
+	}
+	return d.term
+}
+
+// Standing is what an operator asks for.
+type Standing struct {
+	Leads      bool
+	Left       Micros
+	Term       uint64
+	Known      Record
+	Unresolved bool
+}
+
+func (d *Decider) Standing(now Micros) Standing {
+	return Standing{d.Leads(now), max(0, d.leads-now), d.Term(), d.known, d.pending.Term != 0 || d.cast.Term != 0 && !d.answered}
+}
+
+// News tells where the newest build stands; votes name their stage, so what was decided on another is moot.
+func (d *Decider) News(now Micros, build, stage int, onTrial bool) []Order {
+	d.begin(now)
+	if build != d.build || stage != d.stage || onTrial != d.open {
+		d.build, d.stage, d.open = build, stage, onTrial
+		if d.pending.Build != build || d.pending.Stage != stage {
+			d.pending = Record{}
+		}
+	}
+	return d.act()
+}
+
+// Wishes tells what the judge of this agent asks for.
+func (d *Decider) Wishes(now Micros, want Decision) []Order {
+	d.begin(now)
+	d.wishes[d.me] = wish{want, now}
+	d.tell(Message{Kind: Wish, Wish: want})
+	return d.act()
+}
+
+// Answered tells that the launcher has answered the last cast: it is carried out, or never will be.
+func (d *Decider) Answered(now Micros, r Record) []Order {
+	d.begin(now)
+	if r == d.cast {
+		d.answered = true
+	}
+	return d.act()
+}
+
+// Leave passes the lead on: nothing is cast any more, and the next agent may ask at once.
+func (d *Decider) Leave(now Micros) []Order {
+	d.begin(now)
+	if d.leads > now {
+		d.leads, d.yes, d.took = 0, nil, nil // what still comes of its last ballot is not for it
+		d.abstain = now + d.longer(d.terms.Lease)
+		d.tell(Message{Kind: Yield, Ballot: d.ballot})
+	}
+	return d.out
+}
+
+// Tick is to be called at the time that Next gave, or later.
+func (d *Decider) Tick(now Micros) []Order {
+	late := now-d.now > d.terms.Lease/2 && !d.without.Lease
+	d.begin(now)
+	if late {
+		d.leads = 0 // a standstill: what happened meanwhile is not known yet
+	}
+	return d.act()
+}
+
+// Next is when to Tick: a fifteenth of a lease at the most.
+func (d *Decider) Next() Micros { return d.now + max(1, d.terms.Lease/tellAgain) }
+
+func (d *Decider) begin(now Micros) { d.now, d.out = max(d.now, now), d.out[:0] }
+
+func (d *Decider) send(to int, m Message) { d.out = append(d.out, Send{to, m}) }
+
+func (d *Decider) tell(m Message) {
+	for i := range d.all {
+		if i != d.me {
+			d.send(i, m)
+		}
+	}
+}
+
+// act does what the time asks for.
+func (d *Decider) act() []Order {
+	if d.leads > 0 && d.now >= d.leads && !d.without.Lease {
+		d.leads, d.pending = 0, Record{}
+	}
+	switch {
+	case d.now < d.abstain:
+	case d.leads > 0 && d.now >= d.asked+d.terms.Lease/renewPart,
+		d.leads == 0 && d.now >= d.tryAt && (d.now >= d.until || d.owner == d.me || d.without.Prevote):
+		d.ask()
+	}
+	if d.Leads(d.now) {
+		d.decide()
+	}
+	return d.out
+}
+
+// ask begins a ballot, also to renew a lead.
+func (d *Decider) ask() {
+	round := max(d.promised, d.accepted, d.ballot)>>8 + 1
+	d.ballot = round<<8 | uint64(d.me)
+	d.asked, d.yes, d.took, d.proposed = d.now, map[int]bool{}, map[int]bool{}, false
+	d.tryAt = d.now + d.spread()
+	ask := Message{Kind: Prepare, Ballot: d.ballot, After: d.yielded}
+	d.tell(ask)
+	d.hear(d.me, ask)
+}
+
+// Hear takes a message from another agent.
+func (d *Decider) Hear(now Micros, from int, m Message) []Order {
+	d.begin(now)
+	if from >= 0 && from < d.all && from != d.me {
+		d.hear(from, m)
+	}
+	return d.act()
+}
+
+func (d *Decider) reply(to int, m Message) {
+	if to == d.me {
+		d.hear(d.me, m)
+	} else {
+		d.send(to, m)
+	}
+}
+
+func (d *Decider) hear(from int, m Message) {
+	d.learn(m.Record)
+	switch m.Kind {
+	case Prepare:
+		// While a lease is in force here, nobody else is promised anything: who was cut off can't disturb.
+		held := d.now < d.until && d.owner != from && d.accepted > m.After && !d.without.Prevote
+		if d.now < d.abstain || m.Ballot <= d.promised || held {
+			return
+		}
+		d.promised, d.yielded = m.Ballot, max(d.yielded, m.After)
+		d.reply(from, Message{Kind: Promise, Ballot: m.Ballot, Record: d.known})
+	case Promise:
+		if m.Ballot != d.ballot || d.yes == nil {
+			return
+		}
+		if d.yes[from] = true; d.majority(d.yes) && !d.proposed {
+			d.proposed = true
+			d.tell(Message{Kind: Propose, Ballot: d.ballot})
+			d.hear(d.me, Message{Kind: Propose, Ballot: d.ballot})
+		}
+	case Propose:
+		if d.now < d.abstain || m.Ballot < d.promised || m.Ballot <= d.yielded {
+			return // of a lead that was given up since, too
+		}
+		d.promised, d.accepted, d.owner, d.until = m.Ballot, m.Ballot, from, d.now+d.terms.Lease
+		if from != d.me && d.leads > 0 && !d.without.Lease {
+			d.leads = 0
+		}
+		d.reply(from, Message{Kind: Accepted, Ballot: m.Ballot, Record: d.known})
+	case Accepted:
+		if m.Ballot != d.ballot || d.took == nil {
+			return
+		}
+		if d.took[from] = true; d.majority(d.took) && d.now < d.asked+d.shorter(d.terms.Lease) {
+			if !d.Leads(d.now) { // a lapsed lead is a new one: another may have led in between
+				// What an earlier lead has cast may be carried out until Late is over, and counts for its Life.
+				d.earlier = d.known
+				d.term, d.clear = d.ballot, d.now+d.longer(d.terms.Late+d.terms.Life)
+				d.pending, d.cast, d.answered = Record{}, Record{}, false
+			}
+			d.leads = d.asked + d.shorter(d.terms.Lease)
+		}
+	case Write:
+		if m.Ballot < d.promised || d.now < d.abstain {
+			return
+		}
+		d.send(from, Message{Kind: Written, Ballot: m.Ballot, Record: m.Record})
+	case Written:
+		if m.Record == d.pending && d.wrote != nil {
+			d.wrote[from] = true
+		}
+	case Wish:
+		d.wishes[from] = wish{m.Wish, d.now}
+	case Yield:
+		if d.owner == from && d.accepted <= m.Ballot {
+			d.until, d.yielded = d.now, max(d.yielded, m.Ballot)
+			if d.tryAt = d.now; (from+1)%d.all != d.me {
+				d.tryAt += d.spread() // the next in turn first: two that ask at once hinder each other
+			}
+		}
+	}
+}
+
+func (d *Decider) learn(r Record) {
+	if r.newer(d.known) {
+		d.known = r
+	}
+}
+
+// wanted is what the agents' wishes come to: back where enough ask for it; else what this agent's judge asks for, if nobody
+// wishes to go back. In doubt nobody votes on.
+func (d *Decider) wanted() Verdict {
+	backs := 0
+	for i, w := range d.wishes {
+		fresh := i == d.me || w.at > 0 && d.now-w.at < wishFor*d.terms.Lease
+		if fresh && w.Build == d.build && w.Stage == d.stage && w.Verdict == Back {
+			backs++
+		}
+	}
+	own := d.wishes[d.me]
+	switch {
+	case backs >= max(1, d.terms.Need):
+		return Back
+	case own.Build != d.build || own.Stage != d.stage || backs > 0 && own.Verdict == On:
+		return NoVote
+	}
+	return own.Verdict
+}
+
+// decide records what is wanted with a majority, and then casts it.
+func (d *Decider) decide() {
+	if !d.open {
+		return
+	}
+	want := Decision{d.build, d.stage, d.wanted()}
+	if d.pending.Term != d.term {
+		d.pending = Record{}
+	}
+	if d.pending.Term != 0 && d.pending.Decision != want {
+		d.pending = Record{} // what was only told was never cast
+	}
+	switch {
+	case want.Verdict == NoVote:
+		return
+	case d.cast.Decision == want && d.now-d.castAt < Micros(renewVote*float64(d.terms.Life)):
+		return
+	case d.pending.Term == 0:
+		if !d.mayDecide(want) {
+			return
+		}
+		d.serial++
+		d.pending = Record{Term: d.term, Serial: d.serial, Decision: want}
+		if d.cast.Build == want.Build && d.cast.Stage == want.Stage {
+			d.pending.Prior = d.cast.Verdict
+		}
+		d.wrote, d.toldAt = map[int]bool{d.me: true}, d.now
+		d.learn(d.pending)
+		d.tell(Message{Kind: Write, Ballot: d.ballot, Record: d.pending})
+	case d.now-d.toldAt >= d.terms.Lease/tellAgain:
+		d.toldAt = d.now
+		d.tell(Message{Kind: Write, Ballot: d.ballot, Record: d.pending})
+	}
+	if before := d.leads - d.longer(d.terms.Lease/tellAgain); d.pending.Term != 0 && (d.majority(d.wrote) || d.without.Record) && (d.now < before || d.without.Lease) {
+		d.cast, d.castAt, d.answered = d.pending, d.now, false
+		d.pending = Record{}
+		d.out = append(d.out, Cast{d.cast, before})
+	}
+}
+
+// mayDecide holds a contrary decision back while another may count: an earlier lead's, until its votes can be neither carried
+// out nor in force, unless it was on another stage; this lead's own, until it is answered or can't be carried out any more.
+func (d *Decider) mayDecide(want Decision) bool {
+	if d.without.Wait {
+		return true
+	}
+	same := func(r Record) bool { return r.Build == want.Build && r.Stage == want.Stage }
+	contrary := d.earlier.Verdict != want.Verdict || d.earlier.Prior != NoVote && d.earlier.Prior != want.Verdict
+	if d.earlier.Term != 0 && d.now < d.clear && same(d.earlier) && contrary {
+		return false
+	}
+	if d.cast.Term != 0 && same(d.cast) && d.cast.Verdict != want.Verdict {
+		return d.answered || d.now >= d.castAt+d.longer(d.terms.Late)
+	}
+	return true
+}
+
+// Peers are the other agents, for hosts that send to all.
+func (d *Decider) Peers() []int {
+	var out []int
+	for i := range d.all {
+		if i != d.me {
+			out = append(out, i)
+		}
+	}
+	return slices.Clip(out)
+}
--- a/lab/world_test.go
+++ b/lab/world_test.go
@@ -3,6 +3,8 @@
 import (
 	"reflect"
 	"testing"
+
+	"switchfork/decider"
 )
 
 func day() Day {
@@ -52,3 +54,23 @@
 		t.Errorf("before a line the others have %.3f in time: the flood is none", got)
 	}
 }
+
+// Random schedules of troubles break nothing, and do where a guard is off.
+func TestNights(t *testing.T) {
+	broken := func(off decider.Without) (n int) {
+		for seed := int64(1); seed <= 150; seed++ {
+			if len(PlayNight(Schedule{Seed: seed, Agents: 3, Seconds: 40, Without: off}).Violations) > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	if n := broken(decider.Without{}); n > 0 {
+		t.Errorf("%d of 150 schedules break a rule", n)
+	}
+	for name, off := range map[string]decider.Without{"lease": {Lease: true}, "wait": {Wait: true}, "record": {Record: true}} {
+		if broken(off) == 0 {
+			t.Errorf("without %s nothing is found", name)
+		}
+	}
+}
