--- a/decider/decider.go
+++ b/decider/decider.go
@@ -64,6 +64,7 @@
 	Written                  // known
 	Wish                     // what the judge of the sender asks for
 	Yield                    // I leave: take the lead
+	Higher                   // I have promised a higher ballot, this one
 )
 
 // Message between agents; every field is small, so that one fits into a datagram many times over.
@@ -107,6 +108,7 @@
 	promised, accepted uint64
 	owner              int
 	until              Micros // of the lease that was accepted, by this clock
+	seen               uint64 // the highest ballot that another has told of
 	yielded            uint64 // a ballot up to which leases were given up
 	abstain            Micros // after a restart without a memory
 	known              Record // the newest
@@ -283,7 +285,7 @@
 
 // ask begins a ballot, also to renew a lead.
 func (d *Decider) ask() {
-	round := max(d.promised, d.accepted, d.ballot)>>8 + 1
+	round := max(d.promised, d.accepted, d.ballot, d.seen)>>8 + 1
 	d.ballot = round<<8 | uint64(d.me)
 	d.asked, d.yes, d.took, d.proposed = d.now, map[int]bool{}, map[int]bool{}, false
 	d.tryAt = d.now + d.spread()
@@ -315,6 +317,10 @@
 	case Prepare:
 		// While a lease is in force here, nobody else is promised anything: who was cut off can't disturb.
 		held := d.now < d.until && d.owner != from && d.accepted > m.After && !d.without.Prevote
+		if d.now >= d.abstain && m.Ballot < d.promised && from != d.me {
+			// Else one who asked alone would never take part again: its own ballots are higher than the lead's.
+			d.send(from, Message{Kind: Higher, Ballot: d.promised})
+		}
 		if d.now < d.abstain || m.Ballot <= d.promised || held {
 			return
 		}
@@ -362,6 +368,8 @@
 		}
 	case Wish:
 		d.wishes[from] = wish{m.Wish, d.now}
+	case Higher:
+		d.seen = max(d.seen, m.Ballot)
 	case Yield:
 		if d.owner == from && d.accepted <= m.Ballot {
 			d.until, d.yielded = d.now, max(d.yielded, m.Ballot)
