--- a/door/door.go
+++ b/door/door.go
@@ -8,8 +8,6 @@
 package door
 
 import (
-	"container/heap"
-	"math"
 	"math/rand"
 )
 
@@ -126,7 +124,9 @@
 	came     Micros // the first try's coming, where it took over a place
 	giveUp   Micros // it is refused then
 	entered  Micros
-	due      int // its place among those with a giveUp; -1: none
+	due      int64 // the beat at which it gives up; -1: none
+	sooner   *ticket
+	later    *ticket
 	tenant   *tenant
 	queue    *queue
 	lane     int
@@ -154,7 +154,7 @@
 	tickets  map[uint64]*ticket
 	tries    map[uint64]*ticket // by who
 	spare    *ticket            // records to use again, linked by next
-	dues     dues
+	dues     wheel
 	out      []Order
 	waitN    int
 	inN      int
@@ -234,7 +234,7 @@
 		d.fit()
 		return d.flush()
 	}
-	d.tries[t.who] = t
+	d.know(t)
 	promised := d.promises.claim(d, t)
 	d.line(t)
 	switch {
@@ -264,8 +264,8 @@
 func (d *Door) fit() {
 	for d.waitN+d.inN > d.room.Txns || d.bytes > d.room.Bytes {
 		last := d.over()
-		if last == nil && len(d.dues) > 0 {
-			last = d.dues[len(d.dues)-1] // only next tries are left, behind first ones that are in
+		if last == nil {
+			d.dues.each(func(t *ticket) { last = t }) // only next tries are left, behind first ones that are in
 		}
 		if last == nil {
 			return
@@ -310,7 +310,7 @@
 		f.state, f.cost = waiting, d.price(f)
 		d.waitN--
 		d.line(f)
-		d.tries[f.who] = f
+		d.know(f)
 	}
 	d.drop(t)
 	d.enter()
@@ -331,13 +331,9 @@
 // Bell is to be called at the time that Next gave, or later.
 func (d *Door) Bell(now Micros) []Order {
 	d.begin(now)
-	for len(d.dues) > 0 && d.dues[0].giveUp <= now {
-		d.refuse(d.dues[0], TooLate)
-	}
+	d.dues.expired(now, func(t *ticket) { d.refuse(t, TooLate) })
 	if d.until > 0 && now >= d.until {
-		for len(d.dues) > 0 {
-			d.refuse(d.dues[0], Draining)
-		}
+		d.dues.each(func(t *ticket) { d.refuse(t, Draining) })
 	}
 	d.promises.sweep(d)
 	d.limit.tick(now, d.waitN > 0, d.inN)
@@ -356,8 +352,8 @@
 			next = at
 		}
 	}
-	if len(d.dues) > 0 {
-		sooner(min(d.dues[0].giveUp, d.now+beatEvery))
+	if d.dues.n > 0 {
+		sooner(d.now + beatEvery - d.now%beatEvery)
 		sooner(d.until)
 	}
 	sooner(d.promises.next())
@@ -369,11 +365,11 @@
 	d.begin(now)
 	d.until = max(until, 1)
 	var late []*ticket
-	for _, t := range d.dues {
+	d.dues.each(func(t *ticket) {
 		if t.state == waiting && now+d.ahead(t) > d.until {
 			late = append(late, t)
 		}
-	}
+	})
 	for _, t := range late {
 		d.refuse(t, TooLate)
 	}
@@ -470,8 +466,11 @@
 // so; while it is in, nothing may be sent twice: the next try waits for its end. Inquiry-like txns on one thing are many
 // clients' own, so they join only where the client says that it is a next try.
 func (d *Door) join(t *ticket) bool {
+	if t.Key == 0 || !t.Repeat && !d.products[t.Product].Referenced {
+		return false
+	}
 	first := d.tries[t.who]
-	if first == nil || t.Key == 0 || !t.Repeat && !d.products[t.Product].Referenced {
+	if first == nil {
 		return false
 	}
 	d.Count.Joined++
@@ -479,7 +478,7 @@
 	case waiting:
 		t.came, t.giveUp = first.came, min(max(first.giveUp, first.came), t.Expires)
 		d.swap(first, t)
-		d.tries[t.who] = t
+		d.know(t)
 		d.say(Order{Kind: Refuse, ID: first.ID, Why: Replaced})
 		d.forget(first)
 	case behind, in:
@@ -503,11 +502,18 @@
 			t.giveUp = min(t.giveUp, d.until)
 		}
 		d.waitN++
-		heap.Push(&d.dues, t)
+		d.dues.add(t)
 	}
 	return true
 }
 
+// know keeps a ticket to be found by its next try; one without a key has none that could be known.
+func (d *Door) know(t *ticket) {
+	if t.Key != 0 {
+		d.tries[t.who] = t
+	}
+}
+
 // enter lets in as many as may be, the one whose turn it is first.
 func (d *Door) enter() {
 	for d.inN < d.limit.most() {
@@ -548,14 +554,14 @@
 		t.first = nil
 		d.waitN--
 		if t.due >= 0 {
-			heap.Remove(&d.dues, t.due)
+			d.dues.remove(t)
 		}
 	}
 }
 
 // drop ends a ticket that is nowhere any more.
 func (d *Door) drop(t *ticket) {
-	if d.tries[t.who] == t {
+	if t.Key != 0 && d.tries[t.who] == t {
 		delete(d.tries, t.who)
 	}
 	d.forget(t)
@@ -587,29 +593,6 @@
 	return x ^ x>>31
 }
 
-// dues are the tickets that wait, by the time at which they give up.
-type dues []*ticket
-
-func (h dues) Len() int           { return len(h) }
-func (h dues) Less(i, j int) bool { return h[i].giveUp < h[j].giveUp }
-func (h dues) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].due, h[j].due = i, j
-}
-func (h *dues) Push(x any) {
-	t := x.(*ticket)
-	t.due = len(*h)
-	*h = append(*h, t)
-}
-func (h *dues) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	t.due = -1
-	*h = old[:len(old)-1]
-	return t
-}
-
 // flow measures the work let in.
 type flow struct {
 	at   Micros
@@ -625,7 +608,7 @@
 }
 
 func (f *flow) per(now Micros) float64 {
-	return f.rate * math.Exp(-float64(now-f.at)/float64(flowSpan))
+	return f.rate * max(0, 1-float64(now-f.at)/float64(flowSpan)) // between two txns as good as an exponential
 }
 
 // pace is the work a microsecond that goes in while all is wanted: what was let in of late, or, where nothing has waited
--- a/door/fair.go
+++ b/door/fair.go
@@ -138,7 +138,7 @@
 	te.n, te.cost = te.n+1, te.cost+t.cost
 	d.waitN++
 	if t.due < 0 {
-		heap.Push(&d.dues, t)
+		d.dues.add(t)
 	}
 }
 
@@ -167,7 +167,7 @@
 	}
 	d.waitN--
 	if t.due >= 0 {
-		heap.Remove(&d.dues, t.due)
+		d.dues.remove(t)
 	}
 }
 
@@ -198,8 +198,8 @@
 	}
 	t.queue.cost += t.cost - old.cost
 	t.tenant.cost += t.cost - old.cost
-	heap.Remove(&d.dues, old.due)
-	heap.Push(&d.dues, t)
+	d.dues.remove(old)
+	d.dues.add(t)
 }
 
 // turn takes out the ticket whose turn it is; its flows pay.
