--- a/cmd/switchlab/demo.go
+++ b/cmd/switchlab/demo.go
@@ -278,6 +278,7 @@
 		times          float64
 		shares         []float64 // in time, by tenant
 		settled        int
+		others         [4]int // of the others: late, declined, failed, came back
 		kept, broken   float64
 		memory         []float64
 		descriptors    []int
@@ -320,6 +321,11 @@
 			t := clients.Tally(name)
 			d.shares = append(d.shares, float64(t.InTime)/max(1, float64(t.Offered)))
 			d.settled += t.Settled
+			if name != crews[noisy] {
+				for i, n := range []int{t.Settled - t.InTime, t.Declined, t.Failed, t.Back} {
+					d.others[i] += n
+				}
+			}
 		}
 		s.close()
 		if err != nil {
@@ -327,9 +333,9 @@
 		}
 	}
 	var b bars
-	fmt.Fprintf(out, "%-16s %-30s %8s %8s %8s  %-26s %s\n", "day", "in time, by tenant", "settled", "kept", "broken", "MB by quarters", "descriptors")
+	fmt.Fprintf(out, "%-16s %-30s %-34s %8s %8s %8s  %-26s %s\n", "day", "in time, by tenant", "others late, declined, failed, back", "settled", "kept", "broken", "MB by quarters", "descriptors")
 	for _, d := range days {
-		fmt.Fprintf(out, "%-16s %-30s %8d %8.0f %8.0f  %-26s %v\n", d.name, fmt.Sprintf("%.3f", d.shares), d.settled, d.kept, d.broken,
+		fmt.Fprintf(out, "%-16s %-30s %-34s %8d %8.0f %8.0f  %-26s %v\n", d.name, fmt.Sprintf("%.3f", d.shares), fmt.Sprint(d.others), d.settled, d.kept, d.broken,
 			fmt.Sprintf("%.1f", d.memory), d.descriptors)
 	}
 	quiet, loud := days[0], days[1]
