The oldest of a large build are asked first; no vote on for a build the list does not show

Replayed with logs and counted over all 80 agents by appliance: from 15 s on the errors came from the six appliances that had started first with build 292, then from all of it, none from 293. So 292 decays some ten seconds after an appliance's start; it was voted released at 19.9 s with 29 errors at six appliances heard, and never sent back, in fifteen seconds of a fifth of all txns failing. The judge's state once a second: over 24 appliances failures are one sum, pinned at -4 by some 800 good outcomes a second of the younger ones, to which one failing appliance adds 1.1 at the most. At fault: ratio(), the one sum of large builds. Now the oldest are added up too, by themselves: where 0.6 of the first three or more fail, what they say counts.

Scenarios elders and unseen fail without their change.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -724,7 +724,7 @@
 	}
 	failing, late := bounded(saids), bounded(lags)
 	if len(saids) > largeBuild {
-		failing = j.sum
+		failing = max(j.sum, j.fleet.elders(j.build, around))
 	}
 	if len(lates) > 1 && (j.sits || j.seen >= leastSeen*len(lates)) && lower(lates) <= 0 {
 		late = min(late, 0) // half are not late: it is some machines, or their load
@@ -738,6 +738,31 @@
 	return failing + late
 }
 
+// eldersSay of the oldest must fail, leastAlike of them at least.
+const eldersSay = 0.6
+
+// elders adds up what the oldest of a build's appliances say against it, the most over any number of them. It
+// guards against a build that decays after its start: its first few fail while all good outcomes of the many
+// younger ones stand against them in the one sum. Machines that fail by themselves are of any age; it may harm
+// where those happen to be the oldest.
+func (f *fleet) elders(build int, around bool) (most float64) {
+	var old []*appliance
+	for _, a := range f.all {
+		if a.ready() && a.Build == build && a.spoke && a.Started > 0 && !(around && a.errs > errSome) {
+			old = append(old, a)
+		}
+	}
+	slices.SortStableFunc(old, func(a, b *appliance) int { return cmp.Compare(a.Started, b.Started) })
+	failing, sum := 0.0, 0.0
+	for i, a := range old {
+		failing, sum = failing+one(a.fails >= 1), sum+min(a.said, oneSays)
+		if n := float64(i + 1); n >= leastAlike && failing >= eldersSay*n {
+			most = max(most, sum)
+		}
+	}
+	return most
+}
+
 // bounded adds up what appliances say, each in its bounds.
 func bounded(says []float64) (sum float64) {
 	n := float64(len(says))
@@ -837,6 +862,9 @@
 		last && (drags && j.slow >= dragHolds || j.share < shareDone):
 		return NoVote
 	}
+	if j.fleet.count(j.build) == 0 {
+		return NoVote // its list is behind: to go on unseen takes away the appliances that it knows of
+	}
 	newest := j.fleet.newest(j.build)
 	// The last stage releases: there the clock also runs from the newest start. Elsewhere delay costs more.
 	clock := j.now - j.since
