pace: a full discovery is asked in the told time, first calls come one after another

Counted over 80 agents: 31 had a watch by 2 s, the other 49 never got a list in 40 s; each call of theirs waited 2.0 s and ended with 503. So 49 agents sent submissions to appliances that were long gone (up to 7,668 turned away in five seconds), and the release went on without them. Checked: the durations (2,003 ms; 1,305 on average over all 503s), the times of the calls (all at once at the start, then each again 25 to 75 ms after its 503, up to 0.8 s), the told limits (subscribe, ask within 10 s). Ruled out: a limit on watches (all 80 stand now), lines of a push (90 entries to 31 agents took 0.2 s). A call that ran out of time is still worked on, so 80 calls at once, repeated, fill the queue with calls that nobody waits for: a metastable overload. At fault: follower.serve and pause in sockets/roster.go. Now package pace decides: the first calls of agents that start together come over at most half the told time, 60 ms an agent; after 'full' decorrelated jitter from a quarter of the told time up to it. After a break as before.

--- a/charter/charter.go
+++ b/charter/charter.go
@@ -104,6 +104,7 @@
 // Lines are the figures of connections to appliances and the launcher.
 type Lines struct {
 	Dial, Idle, Call time.Duration
+	AskWithin        time.Duration // an agent without a watch should ask for the list in this time; 0: not told
 	OpenCap          int           // txns that the agent may have open
 	HoldOff          time.Duration // the longest wait that clients follow; 0 where they are told none
 	Probes           bool
@@ -271,6 +272,9 @@
 	if t.flag("Limits.RetryAfter") {
 		l.HoldOff = time.Duration(t.ms("Limits.MaxRetryAfterMs")) * time.Microsecond
 	}
+	if t.has("Safety.AskWithinMs") {
+		l.AskWithin = time.Duration(t.ms("Safety.AskWithinMs")) * time.Microsecond
+	}
 	if t.has("Limits.OpenCap") {
 		l.OpenCap = t.count("Limits.OpenCap")
 	}
--- a/cmd/switchfork/serve.go
+++ b/cmd/switchfork/serve.go
@@ -75,8 +75,8 @@
 	clock := sockets.NewClock()
 	core := sockets.NewCore(module, clock)
 	pool := sockets.NewPool(lines.Dial, lines.Idle, lines.Report, purse)
-	roster := sockets.NewRoster(core, post.Discovery, zones, lines.Dial)
-	launcher := sockets.NewLauncher(core, post.Launcher, lines.Dial, lines.Call)
+	roster := sockets.NewRoster(core, post.Discovery, zones, lines.Dial, lines.AskWithin, file.Settings.Votes().Agents, int64(seed))
+	launcher := sockets.NewLauncher(core, post.Launcher, lines.Dial, lines.Call, int64(seed))
 	peers, err := sockets.NewPeers(core, circle.Listen, circle.Peers, circle.All)
 	if err != nil {
 		return err
--- a/sockets/core_test.go
+++ b/sockets/core_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,8 +58,8 @@
 func newRig(t *testing.T, dial time.Duration, discovery, launcher string) *rig {
 	r := &rig{script: &script{}}
 	r.core = NewCore(r.script, NewClock())
-	r.roster = NewRoster(r.core, discovery, []string{"suva"}, time.Second)
-	r.launcher = NewLauncher(r.core, launcher, time.Second, 300*time.Millisecond)
+	r.roster = NewRoster(r.core, discovery, []string{"suva"}, time.Second, 0, 1, 1)
+	r.launcher = NewLauncher(r.core, launcher, time.Second, 300*time.Millisecond, 1)
 	peers, err := NewPeers(r.core, "", nil, "")
 	if err != nil {
 		t.Fatal(err)
@@ -307,7 +309,7 @@
 func TestStartIsOneMoment(t *testing.T) {
 	s := &script{}
 	core := NewCore(s, NewClock())
-	roster, launcher := NewRoster(core, "127.0.0.1:1", []string{"suva"}, time.Second), NewLauncher(core, "127.0.0.1:1", time.Second, time.Second)
+	roster, launcher := NewRoster(core, "127.0.0.1:1", []string{"suva"}, time.Second, 0, 1, 1), NewLauncher(core, "127.0.0.1:1", time.Second, time.Second, 1)
 	if err := roster.Known([]byte(line(4, false, host("box", "127.0.0.1:1", "active", 41)))); err != nil {
 		t.Fatal(err)
 	}
@@ -548,3 +550,21 @@
 	r.send(t, 3, posting, time.Second)
 	eventually(t, "the end of both connections", func() bool { return b.Ended() == 2 })
 }
+
+// A discovery that says it is full is asked again in the told time, not at once: all agents ask alike.
+func TestFullDiscoveryIsLeftAlone(t *testing.T) {
+	var calls atomic.Int64
+	full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		http.Error(w, "full", http.StatusServiceUnavailable)
+	}))
+	defer full.Close()
+	roster := NewRoster(NewCore(&script{}, NewClock()), full.Listener.Addr().String(), []string{"suva"}, time.Second, 8*time.Second, 1, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go roster.Serve(ctx)
+	time.Sleep(1200 * time.Millisecond) // the next call is due 2 to 6 s after the first
+	if n := calls.Load(); n != 1 {
+		t.Errorf("%d calls in 1.2 s", n)
+	}
+}
--- a/sockets/launcher.go
+++ b/sockets/launcher.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"switchfork/brain"
+	"switchfork/pace"
 )
 
 // This file owns the way to the launcher: votes with exactly one answer each, and the stream of its news. It must
@@ -31,7 +32,7 @@
 	also    func(brain.Staged) // hears the news, too; nil: nobody
 	now     *stream            // the one that is believed
 	next    *stream            // the one that is to take its place
-	fails   int
+	again   *pace.Again
 }
 
 // stream is one connection that brings news.
@@ -55,9 +56,9 @@
 	moved struct{ base string }
 )
 
-func NewLauncher(core *Core, address string, dial, patient time.Duration) *Launcher {
+func NewLauncher(core *Core, address string, dial, patient time.Duration, seed int64) *Launcher {
 	return &Launcher{core: core, base: at(address), patient: patient, box: newMailbox[any](),
-		client: newClient(dial), once: onceClient(dial)}
+		client: newClient(dial), once: onceClient(dial), again: pace.New(0, ^seed)}
 }
 
 // Also names who else hears the news. It is to be called before Known and Serve.
@@ -139,16 +140,15 @@
 		switch n.from {
 		case l.next:
 			if l.next = nil; l.now.base != l.base { // the old one is about to end
-				l.fails++
-				l.next = l.open(ctx, l.fails)
+				l.next = l.open(ctx, l.again.Failed(why(n.err)))
 			}
 		case l.now:
-			if l.fails++; n.from.spoke {
-				l.fails = 0
+			if n.from.spoke {
+				l.again.Served()
 			}
 			complaints.warn("news", "news stream ended", "err", n.err)
 			if l.now, l.next = l.next, nil; l.now == nil {
-				l.now = l.open(ctx, l.fails)
+				l.now = l.open(ctx, l.again.Failed(why(n.err)))
 			}
 		}
 	case look:
@@ -165,13 +165,13 @@
 	}
 }
 
-// open starts a stream, after a pause where some failed.
-func (l *Launcher) open(ctx context.Context, fails int) *stream {
+// open starts a stream, after a pause where one failed.
+func (l *Launcher) open(ctx context.Context, pause pace.Micros) *stream {
 	ctx, stop := context.WithCancel(ctx)
 	s := &stream{stop: stop, base: l.base, line: time.Now()}
 	go func() {
-		if fails > 0 {
-			pause(ctx, fails)
+		if pause > 0 {
+			wait(ctx, pause)
 		}
 		l.box.put(streamEnd{s, l.follow(ctx, s)})
 	}()
@@ -190,7 +190,7 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", res.StatusCode)
+		return refusal(res.StatusCode)
 	}
 	// An event counts with the empty line that ends it: one that is cut off may read as another. What can't be read
 	// makes the connection useless, and a new one brings where things stand at once.
--- a/sockets/roster.go
+++ b/sockets/roster.go
@@ -4,9 +4,9 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand"
 	"net"
 	"net/http"
 	"slices"
@@ -15,6 +15,7 @@
 	"time"
 
 	"switchfork/brain"
+	"switchfork/pace"
 )
 
 // This file owns the list: the watch at discovery, the numbers of appliances, and which line is news. It must
@@ -25,6 +26,9 @@
 	core    *Core
 	zones   []string
 	client  *http.Client
+	within  time.Duration // the told time in which to ask; 0: none
+	agents  int
+	seed    int64
 	numbers map[string]uint32 // by host
 	taken   map[uint32]string
 	box     *mailbox[any]
@@ -38,6 +42,7 @@
 	base   string
 	seq    uint64
 	whole  bool // the next line has to be the whole list
+	again  *pace.Again
 	once   bool // its address has been left: not opened again
 	mu     sync.Mutex
 	stop   context.CancelFunc
@@ -49,15 +54,18 @@
 	roll
 }
 
-func NewRoster(core *Core, address string, zones []string, dial time.Duration) *Roster {
-	r := &Roster{core: core, zones: zones, client: newClient(dial), numbers: map[string]uint32{}, taken: map[uint32]string{},
+// NewRoster follows the list at an address. within is the told time in which an agent without a watch should ask, 0 where
+// none is told; agents is how many do so.
+func NewRoster(core *Core, address string, zones []string, dial, within time.Duration, agents int, seed int64) *Roster {
+	r := &Roster{core: core, zones: zones, within: within, agents: agents, seed: seed, client: newClient(dial), numbers: map[string]uint32{}, taken: map[uint32]string{},
 		box: newMailbox[any]()}
 	r.now = r.at(address)
 	return r
 }
 
 func (r *Roster) at(address string) *follower {
-	return &follower{roster: r, base: "http://" + address + "/catalog/members", stop: func() {}}
+	return &follower{roster: r, base: "http://" + address + "/catalog/members", stop: func() {},
+		again: pace.New(r.within.Microseconds(), r.seed)}
 }
 
 // Move goes to another address. The watch at the old one goes on until the new one has brought the whole list, so that
@@ -195,35 +203,49 @@
 	// protocol's signs of life.
 	signsMissed = 3
 	watchSign   = 2 * time.Second
-	// againSoon doubles up to againMost, with a random part: all agents find a party back at once.
-	againSoon, againMost = 50 * time.Millisecond, 800 * time.Millisecond
 )
 
-// pause waits before the next try after some in a row that brought nothing.
-func pause(ctx context.Context, fails int) {
-	wait := min(againMost, againSoon<<min(fails, 8))
+// wait is a pause that the end cuts short.
+func wait(ctx context.Context, span pace.Micros) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(wait/2 + time.Duration(rand.Int63n(int64(wait)))):
+	case <-time.After(time.Duration(span) * time.Microsecond):
 	}
 }
 
+// refusal is an answer that is no list and no stream.
+type refusal int
+
+func (r refusal) Error() string { return fmt.Sprintf("status %d", int(r)) }
+
+// why tells a party that has too much to do from one that is not there.
+func why(err error) pace.Reason {
+	if r := refusal(0); errors.As(err, &r) && (r == http.StatusServiceUnavailable || r == http.StatusTooManyRequests) {
+		return pace.Full
+	}
+	return pace.Gone
+}
+
 func (f *follower) serve(ctx context.Context) {
-	for fails := 0; ctx.Err() == nil && !f.left(); fails++ {
+	if f.seq > 0 || !f.whole { // what was told at the start will do for a moment
+		wait(ctx, f.again.Begin(f.roster.agents))
+	}
+	for ctx.Err() == nil && !f.left() {
+		start := time.Now()
 		if f.whole {
 			if err := f.fetch(ctx); err != nil {
-				complaints.warn("list", "list not fetched", "err", err)
-				pause(ctx, fails)
+				complaints.warn("list", "list not fetched", "err", err, "after_ms", time.Since(start).Milliseconds())
+				wait(ctx, f.again.Failed(why(err)))
 				continue
 			}
 		}
 		lines, err := f.watch(ctx)
 		if lines > 0 {
-			fails = 0
+			f.again.Served()
 		}
 		if ctx.Err() == nil {
-			complaints.warn("watch", "watch ended", "err", err, "seq", f.seq)
-			pause(ctx, fails)
+			complaints.warn("watch", "watch ended", "err", err, "seq", f.seq, "after_ms", time.Since(start).Milliseconds())
+			wait(ctx, f.again.Failed(why(err)))
 		}
 	}
 }
@@ -290,7 +312,7 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", res.StatusCode)
+		return refusal(res.StatusCode)
 	}
 	sc := bufio.NewScanner(res.Body)
 	sc.Buffer(make([]byte, 0, 16<<10), lineLimit)
