Of a large build a quarter must fail before their one sum counts

At fault: ratio(), where the one sum of a large build counts however few fail. Now it holds at 1 (no vote back, the clock goes on) until a quarter of those heard fail, the part that already had to speak elsewhere.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -715,16 +715,23 @@
 // fails, and is late, on most alike. Neither is saved up past the crossing: a build may turn bad late.
 func (j *judge) ratio() float64 {
 	var saids, lates, lags, good []float64
+	fails := 0
 	around := j.fleet.failing(j.build, errMost) // then machines that fail here are no sign of the build
 	for _, a := range j.fleet.all {             // those never heard of say nothing
 		if a.ready() && a.Build == j.build && a.spoke && !(around && a.errs > errSome) {
 			saids, lates, lags = append(saids, a.said), append(lates, a.late), append(lags, a.lag)
 			good = append(good, a.said+min(0, a.lag))
+			fails += int(one(a.fails >= holdAbove))
 		}
 	}
 	failing, late := bounded(saids), bounded(lags)
 	if len(saids) > largeBuild {
-		failing = max(j.sum, j.fleet.elders(j.build, around))
+		if failing = j.sum; speakers*fails < len(saids) {
+			failing = min(failing, holdAbove) // a few machines' own, however often
+		}
+		if elders := j.fleet.elders(j.build, around); elders > 0 {
+			failing = max(failing, elders)
+		}
 	}
 	if len(lates) > 1 && (j.sits || j.seen >= leastSeen*len(lates)) && lower(lates) <= 0 {
 		late = min(late, 0) // half are not late: it is some machines, or their load
@@ -755,7 +762,7 @@
 	slices.SortStableFunc(old, func(a, b *appliance) int { return cmp.Compare(a.Started, b.Started) })
 	failing, sum := 0.0, 0.0
 	for i, a := range old {
-		failing, sum = failing+one(a.fails >= 1), sum+min(a.said, oneSays)
+		failing, sum = failing+one(a.fails >= holdAbove), sum+min(a.said, oneSays)
 		if n := float64(i + 1); n >= leastAlike && failing >= eldersSay*n {
 			most = max(most, sum)
 		}
