The bench pauses a stage while the median of 300 answers is 1.3 of the calm's

Seen: zone+vast, build 385 voted on to the last stage at 34.9 s; from 36 s the whole fleet jams (0.7% in time at 40 s). Replayed with the judge's state: the typical answer against the calm's is 0.85 at a dose of 0.1, 1.58 at 0.42 when the vote was cast, 1.9 to 5 while old machines still served: a build that slows all in step with its traffic. Checked: the drag counted 0.00 s then. A median of the last 30 answers, of which the bench hears 800 a second, moves between 0.6 and 1.0 from beat to beat, and what it counts is wiped by the next low one. Ruled out: the zone's loss (20 to 25 s), cold machines (the median rose before stage 2's came). At fault: dragLast, chosen for what one agent hears. A short jam may delay a stage by as long as it lasts. Agents without a bench: as before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -783,8 +783,9 @@
 }
 
 const (
-	// dragLast answers are looked at: two seconds of a busy agent. calmFade: some fifty answers of a product.
-	dragLast, calmFade = 30, 0.02
+	// dragLast answers are looked at: two seconds of a busy agent. The bench hears benchLast in less, and their
+	// median is known to a tenth. calmFade: some fifty answers of a product.
+	dragLast, benchLast, calmFade = 30, 300, 0.02
 	// dragTimes slower and fewer txns completed than dragDone of the calm's: either alone is only more traffic.
 	dragTimes, dragDone = 1.3, 0.8
 	// shareDone of the calm's share in time with rateDone of its completions: more traffic lowers only the one,
@@ -829,9 +830,10 @@
 		j.calmFleet += (whole - j.calmFleet) * part
 	}
 	middle, full := 0.0, whole >= wholeFleet*j.calmFleet
-	if len(j.times) == dragLast && full {
+	if len(j.times) == j.lasts() && full {
 		middle = median(j.times)
 	}
+	j.middle = middle
 	switch {
 	case middle >= dragTimes && j.rate < dragDone*j.calmRate,
 		j.rate < collapse*j.calmRate && j.share < rateDone*j.calmShare, // not just the agent's traffic that ends
@@ -865,6 +867,8 @@
 		return NoVote
 	case j.polling.Ballot == BallotTimer && ratio > holdAbove:
 		return Hold
+	case j.sits && !last && j.middle >= dragTimes && j.dose >= pausesFrom:
+		return NoVote // it hears all, and that they slow with the build's part: no need to wait how long it lasts
 	case j.polling.Ballot == BallotTimer, drags && !last && j.slow >= dragPauses && j.dose >= pausesFrom,
 		last && (drags && j.slow >= dragHolds || j.share < shareDone):
 		return NoVote
@@ -878,7 +882,7 @@
 	if last {
 		clock = min(clock, j.now-newest)
 	}
-	if last && len(j.times) < dragLast && j.polling.ToGo <= 1 {
+	if last && len(j.times) < j.lasts() && j.polling.ToGo <= 1 {
 		clock -= blindWait // this agent can not feel a drag; where one vote is enough, others may
 	}
 	if !j.judges() {
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -374,7 +374,7 @@
 	}
 	if j.calmSeen[p] >= leastSeen {
 		j.times = append(j.times, float64(n.Took)/j.calm[p])
-		j.times = j.times[max(0, len(j.times)-dragLast):]
+		j.times = j.times[max(0, len(j.times)-j.lasts()):]
 	}
 }
 
@@ -398,6 +398,14 @@
 	return n
 }
 
+// lasts is how many answers are looked at.
+func (j *judge) lasts() int {
+	if j.sits {
+		return benchLast
+	}
+	return dragLast
+}
+
 func median(of []float64) float64 {
 	sorted := slices.Clone(of)
 	slices.Sort(sorted)
--- a/brain/record.go
+++ b/brain/record.go
@@ -197,6 +197,7 @@
 	done, rate, calmRate float64   // txns completed: since the last beat, a µs now, a µs in the calm
 	share, calmShare     float64   // of txns answered in time, now and in the calm
 	times                []float64 // the last answers against those before the release
+	middle               float64   // their median, 0 while it says nothing
 	feltAt               Micros    // the last beat
 	dose                 float64   // the build's part of the answers
 	slow, calmFleet      float64   // µs that the fleet has dragged; appliances in the calm
