--- /dev/null
+++ b/logbook/logbook_test.go
@@ -0,0 +1,75 @@
+package logbook
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+// written is a log as an agent writes it, with times of our own.
+func written(t *testing.T, lines ...func(*slog.Logger)) string {
+	t.Helper()
+	var out bytes.Buffer
+	at := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	log := slog.New(slog.NewTextHandler(&out, &slog.HandlerOptions{ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+		if a.Key == slog.TimeKey {
+			at = at.Add(500 * time.Millisecond)
+			a.Value = slog.TimeValue(at)
+		}
+		return a
+	}}))
+	for _, l := range lines {
+		l(log)
+	}
+	return out.String()
+}
+
+func vote(log *slog.Logger) {
+	log.Info("vote", "build", 7, "stage", 1, "verdict", "approve", "ending", "turned away", "ms", 120)
+}
+
+func account(log *slog.Logger) {
+	log.Info("account", "ms", 5001, "taken", 40, "settled", 30, "declined", 9, "submissions", 44, "again", 5, "list_calls", 2)
+}
+
+func TestCountsOverAgents(t *testing.T) {
+	one := written(t, account, vote, vote, func(l *slog.Logger) {
+		l.Warn("appliance", "appliance", "box 1", "ending", "nothing in time", "probe", false, "after_ms", 380)
+	}, func(l *slog.Logger) { l.Info("list", "seq", 4, "whole", false, "entries", 3) })
+	two := written(t, account, vote, func(l *slog.Logger) { l.Warn("watch ended", "err", "status 503") })
+	b := New(5 * time.Second)
+	for name, log := range map[string]string{"a": "0.013 " + strings.ReplaceAll(one, "\n", "\n0.020 "), "b": two + "no log line\ntime=never msg=vote\n"} {
+		if err := b.Read(name, strings.NewReader(log)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if peak, over := b.PeakCalls(2); peak != 2 || over != 0 || b.Seconds() != 2 {
+		t.Errorf("busiest second %d, over %d of %d", peak, over, b.Seconds())
+	}
+	if _, over := b.PeakCalls(1); over != 1 {
+		t.Errorf("%d seconds over one call", over)
+	}
+	var out bytes.Buffer
+	b.Print(&out, 1)
+	for _, want := range []string{"2 agents", "\n0\t80\t60\t18\t0\t0\t88\t10\t0\t0\t4\t0\t0\t1\t1\tnothing in time 1\n",
+		"build 7 stage 1 approve: turned away\t3\n", "box 1\tnothing in time 1\n"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, out.String())
+		}
+	}
+	if b.Odd != 3 { // the two above, and what stands before the end of the first log
+		t.Errorf("%d odd lines", b.Odd)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("time=2026-01-02T03:04:05Z msg=account taken=1\n"))
+	f.Add([]byte("time=2026-01-02T03:04:05Z msg=\"vote\" ms=\n\x00=time="))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		b := New(0)
+		b.Read("x", bytes.NewReader(raw))
+		b.Print(&bytes.Buffer{}, 100)
+	})
+}
--- a/sockets/appliance.go
+++ b/sockets/appliance.go
@@ -227,6 +227,7 @@
 		return
 	}
 	a.pending++
+	a.core.done.dials.Add(1)
 	addr := a.addr
 	go func() {
 		nc, err := a.pool.dial.Dial("tcp", addr)
--- a/sockets/core.go
+++ b/sockets/core.go
@@ -70,6 +70,7 @@
 	expires time.Time
 	over    bool // it has its final answer, or nobody waits for one
 	out     int  // submissions that have not ended
+	tries   int
 	on      *appliance
 	done    func() // when it is over and nothing of it is out; nil where nobody asks
 	sent    func() // when it is first sent; nil where nobody asks
@@ -120,6 +121,7 @@
 	hire       func(uint32, entry) *appliance
 	vote       func(brain.Vote)
 	tell       func(brain.Tell)
+	done       account
 	votes      func(brain.Vote) // takes the module's votes in the launcher's place; nil: nobody
 }
 
@@ -165,6 +167,7 @@
 			c.note(n)
 		}
 		c.first()
+		c.done.say(time.Now())
 		for now := c.clock.now(); len(c.wakes) > 0 && c.wakes[0].At <= now; {
 			token := c.wakes[0].Token
 			c.wakes = slices.Delete(c.wakes, 0, 1)
@@ -193,10 +196,12 @@
 	switch n := n.(type) {
 	case arrived:
 		c.txns[n.taken.ID] = n.open
+		c.done.taken++
 		c.handle(n.taken)
 	case brain.Abandoned:
 		if t := c.txns[n.ID]; t != nil && !t.over {
 			t.how = door.Left
+			c.done.left++
 			c.over(n.ID, t)
 			c.handle(n)
 		}
@@ -204,6 +209,11 @@
 		c.ended(n)
 	case listing:
 		c.listing(n)
+	case brain.Staged:
+		if n.Answer && n.Outcome == brain.TurnedOff {
+			c.done.voteFull++
+		}
+		c.handle(n)
 	case shortage:
 		for _, a := range c.all {
 			a.box.put(trim{})
@@ -240,6 +250,7 @@
 		t.out--
 		if !t.over && (n.ending == Settled || n.ending == Rejected) {
 			t.how = door.Settled
+			c.done.settled++
 			t.tell(reply{settled: n.answer})
 			t.over = true
 		}
@@ -316,13 +327,16 @@
 	case brain.Void:
 		c.answer(o.ID, reply{})
 	case brain.Vote:
+		c.done.votes++
 		c.vote(o)
 	case brain.Probe:
 		if a := c.appliances[o.Appliance]; a != nil {
+			c.done.probes++
 			a.box.put(probe{})
 		}
 	case brain.CallOff:
 		if t := c.txns[o.ID]; t != nil && t.out > 0 {
+			c.done.off++
 			t.on.box.put(callOff{o.ID})
 		}
 	case brain.Tell:
@@ -355,14 +369,22 @@
 		t.sent()
 		t.sent = nil
 	}
+	if t.tries++; t.tries > 1 {
+		c.done.again++
+	}
+	c.done.submissions++
 	t.out, t.on = t.out+1, a
 	a.box.put(submission{id: o.ID, parcel: t.parcel, at: now, until: until})
 }
 
 func (c *Core) answer(id uint64, r reply) {
 	if t := c.txns[id]; t != nil && !t.over {
-		if t.how = door.Voided; r.refused {
+		if r.refused {
 			t.how = door.Declined
+			c.done.declined++
+		} else {
+			t.how = door.Voided
+			c.done.voided++
 		}
 		t.tell(r)
 		c.over(id, t)
--- a/sockets/roster.go
+++ b/sockets/roster.go
@@ -306,6 +306,7 @@
 	if err != nil {
 		return err
 	}
+	f.roster.core.done.listCalls.Add(1)
 	res, err := f.roster.client.Do(req)
 	if err != nil {
 		return err
