charter: a told rate of calls or number of agents that makes no sense ends the start

Needed: votes are paced by the told calls a second over all agents, so what is told must be sound. A rate of 0 or less, no agent, or a price under 0 now ends the start with a line that names the key. Seen: terms_test.go, nine faulty rates and counts, four prices; without the checks two rates (0 and -3) and the four prices pass, and no agent at all is reported as a fault of Me. Sound terms are read as before.

--- a/charter/terms.go
+++ b/charter/terms.go
@@ -181,6 +181,9 @@
 func (t *Terms) Open(seed uint64) (brain.Router, error) {
 	st := brain.Station{Me: t.count("Me"), Agents: t.count("Balancers"), Zone: t.count("Zone"), Seed: int64(seed),
 		WarmKeys: t.flag("FamilyInfo.WarmKeys")}
+	if st.Agents < 1 {
+		t.fail("Balancers", fmt.Sprintf("is %d; there is one agent at least, this one", st.Agents))
+	}
 	if st.Me >= st.Agents {
 		t.fail("Me", fmt.Sprintf("is %d of %d agents", st.Me, st.Agents))
 	}
@@ -219,6 +222,14 @@
 		Ask:  pick(t, "Discovery", map[string]bool{"subscribe": true, "automatic": false})}
 	fares := brain.Fares{CrossZone: t.opt("Charges.CrossZone", 0), Waste: t.opt("Charges.Waste", 0),
 		Probe: t.opt("Charges.Probe", 0), Tell: t.opt("Charges.Peer", 0)}
+	if polling.CallsPerS <= 0 {
+		t.fail("FamilyInfo.ApiRate", fmt.Sprintf("is %v, no rate of calls a second", polling.CallsPerS))
+	}
+	for _, key := range []string{"CrossZone", "Waste", "Probe", "Peer"} {
+		if v := t.opt("Charges."+key, 0); v < 0 {
+			t.fail("Charges."+key, fmt.Sprintf("is %v, a price under 0", v))
+		}
+	}
 	if t.err != nil {
 		return nil, t.err
 	}
