Votes are spread at the told rate of calls; the bench goes on in no collapse

Then, at 40.6 s, the bench voted on in the middle of a collapse (13.6% in time): with many appliances set aside the median says nothing, and the share of txns in time was asked at the last stage only. At fault: voteRetry without a random part, vote() for the others without turns, verdict() before the last stage. Now a failed vote is cast again within the time that all who vote take at the told rate, those not on the bench have their turns in it, and the bench casts no vote on while under 0.6 of the calm's share is in time, as at the last stage. With 3 agents at 50 a second the wait grows by 0.06 s at most.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -588,7 +588,7 @@
 	if st.Agents <= seats {
 		return
 	}
-	j.bench, j.me, j.agents = lot(st.Agents, seats, ringSalt), st.Me, st.Agents
+	j.bench, j.me = lot(st.Agents, seats, ringSalt), st.Me
 	j.sits = slices.Contains(j.bench, st.Me)
 }
 
@@ -600,9 +600,9 @@
 		}
 	case Staged:
 		if n.Answer && n.Outcome != OK {
-			j.cast, j.quiet = NoVote, j.now+voteRetry
+			j.cast, j.quiet = NoVote, j.now+voteRetry+j.upTo(j.queue()+1) // not all agents in step
 			if n.Outcome == TurnedOff {
-				j.quiet = j.now + fullPause + j.upTo(fullPause) // not all agents in step
+				j.quiet += fullPause - voteRetry + j.upTo(fullPause)
 			}
 		}
 		same := n.Build == j.build && n.Stage == j.stage
@@ -867,7 +867,7 @@
 		return NoVote
 	case j.polling.Ballot == BallotTimer && ratio > holdAbove:
 		return Hold
-	case j.sits && !last && j.middle >= dragTimes && j.dose >= pausesFrom:
+	case j.sits && !last && j.dose >= pausesFrom && (j.middle >= dragTimes || j.share < shareDone*j.calmShare):
 		return NoVote // it hears all, and that they slow with the build's part: no need to wait how long it lasts
 	case j.polling.Ballot == BallotTimer, drags && !last && j.slow >= dragPauses && j.dose >= pausesFrom,
 		last && (drags && j.slow >= dragHolds || j.share < shareDone):
@@ -895,9 +895,32 @@
 	return NoVote
 }
 
+// queue is the time in which all who vote can do so at the told rate of calls, which is counted over all of them.
+func (j *judge) queue() Micros {
+	voters := j.agents
+	if j.sits {
+		voters = seats
+	}
+	if j.polling.CallsPerS <= 0 {
+		return 0 // none told
+	}
+	return min(j.polling.Stands, Micros(float64(voters)*float64(second)/j.polling.CallsPerS))
+}
+
+// turn keeps those not on the bench, when it has been silent, from voting all in one moment: the first few suffice.
+func (j *judge) turn() Micros {
+	if j.judges() {
+		return 0
+	}
+	return Micros(float64(mix(uint64(j.me)^uint64(j.build+j.stage)<<20)>>11) / (1 << 53) * float64(j.queue()))
+}
+
 func (j *judge) vote() {
 	v, life := j.verdict(), Micros(renewAt*float64(j.polling.Stands))
-	if j.now >= j.quiet && (v != j.cast || v != NoVote && j.now-j.castAt >= life) {
+	if v != j.want {
+		j.want, j.wantAt = v, j.now
+	}
+	if j.now >= max(j.quiet, j.wantAt+j.turn()) && (v != j.cast || v != NoVote && j.now-j.castAt >= life) {
 		j.cast, j.castAt = v, j.now
 		j.give(Vote{Build: j.build, Stage: j.stage, Verdict: v})
 	}
--- a/brain/record.go
+++ b/brain/record.go
@@ -191,7 +191,8 @@
 	sits                 bool   // this agent is one of them
 	sheet                []byte // outcomes that they have not been told yet
 	sheetAt              Micros
-	cast                 Verdict
+	cast, want           Verdict
+	wantAt               Micros // since when it has wanted that
 	castAt, quiet        Micros
 	calm, calmSeen       []float64 // answer times before the release, by product
 	done, rate, calmRate float64   // txns completed: since the last beat, a µs now, a µs in the calm
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -121,7 +121,7 @@
 	s.r = New(Station{Me: int(s.val(m, "me", 0)), Agents: int(s.val(m, "agents", 1)), Seed: 7, WarmKeys: m["warmkeys"] != ""}, s.prods,
 		LaunchPlan{Caps: caps, Guarded: int(s.val(m, "guarded", 0)), OneWay: m["oneway"] != "", InPlace: m["inplace"] != ""},
 		Polling{Ballot: map[string]Ballot{"": BallotAny, "share": BallotShare, "timer": BallotTimer}[m["ballot"]],
-			Stands: span("stands", 4000), ToGoBack: int(s.val(m, "togoback", 1))},
+			Stands: span("stands", 4000), ToGoBack: int(s.val(m, "togoback", 1)), CallsPerS: s.val(m, "calls", 0)},
 		Exposure{Window: span("window", 4000), Free: s.val(m, "free", 3), ByProduct: m["byproduct"] != ""},
 		ColdStart{From: s.val(m, "from", 0.3), Warm: span("warm", 5000), Multiple: s.val(m, "multiple", 2), After: span("after", 1500)},
 		Handover{MaxSubmissions: int(s.val(m, "max", 3))}, Licence{Ask: m["ask"] != "", Probe: m["probe"] != "", Tell: m["tell"] != ""}, Fares{})
