The launcher's error is read inside Response too: 'too many calls' was never understood

Seen: votes with 'nothing in time' 60 to 300 ms after they were cast, at a told patience of 800 ms. Logged with status and body: 400, <Response><Error><Code>ConditionFailed</Code></Error></Response>. Ruled out: silence of the launcher, broken connections. At fault: readVoteAnswer looked for Code under the root, as the protocol's page shows the error. So a vote turned away as one too many, or as for what no longer stands, counted as one that may count, and was cast again after 250 ms instead of one to two seconds. Both forms are read; TestVotes has them and fails without.

--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -601,7 +601,7 @@
 		{`"seed":"8c`, `"seed":"xx`, "config.seed"},
 		{`"sockets":1024`, `"sockets":9`, "config.limits.sockets"},
 		{`"discovery":"127`, `"discovery":"127.0.0.1","was":"127`, "config.discovery"},
-		{`"Balancers":1`, `"Balancers":0`, "config.settings.Me"},
+		{`"Balancers":1`, `"Balancers":0`, "config.settings.Balancers is 0"},
 		{`"progress":"live"`, `"progress":"odd"`, "config.platform.news"},
 		{`"seq":1`, `"seq":"one"`, "config.known"},
 		{`{"name"`, `{"name`, "GW_CONFIG"},
--- a/sockets/codec.go
+++ b/sockets/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"encoding/xml"
 	"errors"
@@ -396,8 +397,9 @@
 	var ok struct {
 		News []news `xml:"groups>item"`
 	}
-	var no struct {
-		Code string `xml:"Code"`
+	var no struct { // the error stands alone, or inside the answer
+		Alone  string `xml:"Code"`
+		Inside string `xml:"Error>Code"`
 	}
 	switch {
 	case status == http.StatusOK:
@@ -407,7 +409,7 @@
 			}
 		}
 	case status == http.StatusBadRequest && xml.Unmarshal(raw, &no) == nil:
-		switch no.Code {
+		switch cmp.Or(no.Inside, no.Alone) {
 		case "Throttling":
 			return TurnedAway, brain.Staged{}
 		case "ConditionFailed":
--- a/sockets/core_test.go
+++ b/sockets/core_test.go
@@ -413,6 +413,8 @@
 		{"200|no news", brain.TimedOut},
 		{"400|<Error><Code>Throttling</Code></Error>", brain.TurnedOff},
 		{"400|<Error><Code>ConditionFailed</Code></Error>", brain.Moot},
+		{"400|<?xml version=\"1.0\"?>\n<Response><Error><Code>Throttling</Code></Error></Response>", brain.TurnedOff},
+		{"400|<Response><Error><Code>ConditionFailed</Code></Error></Response>", brain.Moot},
 		{"400|<Error><Code>ValidationError</Code></Error>", brain.Errored},
 		{"500|<Error><Code>InternalFailure</Code></Error>", brain.Errored},
 		{"418|", brain.TimedOut},
