No wait before the first list call where the list comes by itself

At fault: the told time to ask in was read without a look at how the list comes (charter), and Again.Begin spread without one. Now neither applies where the list comes by itself; TestAskWithin and TestWaits hold it.

--- a/charter/charter.go
+++ b/charter/charter.go
@@ -104,7 +104,7 @@
 // Lines are the figures of connections to appliances and the launcher.
 type Lines struct {
 	Dial, Idle, Call time.Duration
-	AskWithin        time.Duration // an agent without a watch should ask for the list in this time; 0: not told
+	AskWithin        time.Duration // where the list must be asked, in this time; 0: it comes by itself
 	OpenCap          int           // txns that the agent may have open
 	HoldOff          time.Duration // the longest wait that clients follow; 0 where they are told none
 	Probes           bool
@@ -272,7 +272,7 @@
 	if t.flag("Limits.RetryAfter") {
 		l.HoldOff = time.Duration(t.ms("Limits.MaxRetryAfterMs")) * time.Microsecond
 	}
-	if t.has("Safety.AskWithinMs") {
+	if t.has("Safety.AskWithinMs") && t.pairs["Discovery"] == "subscribe" {
 		l.AskWithin = time.Duration(t.ms("Safety.AskWithinMs")) * time.Microsecond
 	}
 	if t.has("Limits.OpenCap") {
--- a/charter/terms_test.go
+++ b/charter/terms_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 )
 
 const sound = `Me=1
@@ -65,3 +66,14 @@
 		}
 	}
 }
+
+// The time in which to ask for the list counts only where it must be asked.
+func TestAskWithin(t *testing.T) {
+	lines := "Limits.DialTimeoutMs=250\nLimits.ConnIdleMs=30000\nSafety.AskWithinMs=10000\n"
+	for how, want := range map[string]time.Duration{"subscribe": 10 * time.Second, "automatic": 0} {
+		terms := Pairs(strings.Replace(sound, "subscribe", how, 1) + lines)
+		if l := terms.Lines(); l.AskWithin != want || terms.Err() != nil {
+			t.Errorf("%s: %v, %v", how, l.AskWithin, terms.Err())
+		}
+	}
+}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -33,6 +33,7 @@
 // Again keeps one caller's waits.
 type Again struct {
 	chance      *rand.Rand
+	told        bool
 	first, most Micros // after Full
 	gone        int    // breaks in a row
 	last        Micros // the last wait after Full
@@ -42,14 +43,18 @@
 func New(within Micros, seed int64) *Again {
 	a := &Again{chance: rand.New(rand.NewSource(seed)), first: fullFirst, most: fullMost}
 	if within > 0 {
-		a.first, a.most = within/firstPart, within
+		a.told, a.first, a.most = true, within/firstPart, within
 	}
 	return a
 }
 
 // Begin is the wait before the first call: alike agents that start in one moment come one after another, inside half of
-// the time in which they should ask. Few agents wait next to nothing.
+// the time in which they should ask. Few agents wait next to nothing. Where no time is told there is none: the list comes
+// by itself, and a drain told while an agent was away binds as soon as it is back.
 func (a *Again) Begin(agents int) Micros {
+	if !a.told {
+		return 0
+	}
 	return a.upTo(min(a.most/2, Micros(agents-1)*eachCall))
 }
 
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -106,6 +106,11 @@
 			}
 		}
 	}
+	for seed := range int64(50) {
+		if w := New(0, seed).Begin(100_000); w != 0 {
+			t.Errorf("no time told: begins after %d", w)
+		}
+	}
 	New(-1, 1).Begin(-5) // absurd figures do no harm
 	New(1, 1).Failed(Full)
 }
