--- a/brain/brain.go
+++ b/brain/brain.go
@@ -748,10 +748,9 @@
 // eldersSay of the oldest must fail, leastAlike of them at least.
 const eldersSay = 0.6
 
-// elders adds up what the oldest of a build's appliances say against it, the most over any number of them. It
-// guards against a build that decays after its start: its first few fail while all good outcomes of the many
-// younger ones stand against them in the one sum. Machines that fail by themselves are of any age; it may harm
-// where those happen to be the oldest.
+// elders adds up what the oldest of a build's appliances say against it, the most over any number of them: a
+// build that decays fails there first, with all good outcomes of the younger against it in the one sum. It may
+// harm where the oldest are machines that fail by themselves, which are of any age.
 func (f *fleet) elders(build int, around bool) (most float64) {
 	var old []*appliance
 	for _, a := range f.all {
@@ -895,7 +894,7 @@
 	return NoVote
 }
 
-// queue is the time in which all who vote can do so at the told rate of calls, which is counted over all of them.
+// queue is the time in which all who vote can do so at the told rate of calls, counted over all of them.
 func (j *judge) queue() Micros {
 	voters := j.agents
 	if j.sits {
@@ -907,7 +906,7 @@
 	return min(j.polling.Stands, Micros(float64(voters)*float64(second)/j.polling.CallsPerS))
 }
 
-// turn keeps those not on the bench, when it has been silent, from voting all in one moment: the first few suffice.
+// turn keeps those not on the bench, when it is silent, from voting all in one moment: a few suffice.
 func (j *judge) turn() Micros {
 	if j.judges() {
 		return 0
