--- a/brain/brain.go
+++ b/brain/brain.go
@@ -749,7 +749,7 @@
 const eldersSay = 0.6
 
 // elders adds up what the oldest of a build's appliances say against it, the most over any number of them: a
-// build that decays fails there first, while in the one sum all good outcomes of the younger stand against it.
+// build that decays fails there first, while in the one sum all good outcomes of the younger are against it.
 // It may harm where the oldest are machines that fail by themselves, which are of any age.
 func (f *fleet) elders(build int, around bool) (most float64) {
 	var old []*appliance
