account: calledOff is called what it counts

Read again: off said nothing of what it counts. Names only; the log's key stays called_off. TestAccountIsBounded and TestCallOffAndProbe pass.

--- a/sockets/account.go
+++ b/sockets/account.go
@@ -14,10 +14,10 @@
 
 // account counts since its last line.
 type account struct {
-	taken, settled, declined, voided, left           int
-	submissions, again, probes, votes, voteFull, off int
-	dials, listCalls                                 atomic.Int64 // counted by others than the core
-	since                                            time.Time
+	taken, settled, declined, voided, left                 int
+	submissions, again, probes, votes, voteFull, calledOff int
+	dials, listCalls                                       atomic.Int64 // counted by others than the core
+	since                                                  time.Time
 }
 
 // say writes the line when it is due.
@@ -31,10 +31,10 @@
 	dials, calls := a.dials.Swap(0), a.listCalls.Swap(0)
 	if a.taken+a.submissions+a.probes+a.votes > 0 || dials+calls > 0 {
 		slog.Info("account", "ms", now.Sub(a.since).Milliseconds(), "taken", a.taken, "settled", a.settled, "declined", a.declined,
-			"voided", a.voided, "left", a.left, "submissions", a.submissions, "again", a.again, "called_off", a.off, "probes", a.probes,
+			"voided", a.voided, "left", a.left, "submissions", a.submissions, "again", a.again, "called_off", a.calledOff, "probes", a.probes,
 			"votes", a.votes, "vote_full", a.voteFull, "dials", dials, "list_calls", calls)
 	}
 	a.taken, a.settled, a.declined, a.voided, a.left = 0, 0, 0, 0, 0
-	a.submissions, a.again, a.probes, a.votes, a.voteFull, a.off = 0, 0, 0, 0, 0, 0
+	a.submissions, a.again, a.probes, a.votes, a.voteFull, a.calledOff = 0, 0, 0, 0, 0, 0
 	a.since = now
 }
--- a/sockets/core.go
+++ b/sockets/core.go
@@ -336,7 +336,7 @@
 		}
 	case brain.CallOff:
 		if t := c.txns[o.ID]; t != nil && t.out > 0 {
-			c.done.off++
+			c.done.calledOff++
 			t.on.box.put(callOff{o.ID})
 		}
 	case brain.Tell:
