--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -523,6 +523,8 @@
 	if err := a.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
+	// The signal's sender goes on before all threads have stopped: one of them could still take the request.
+	eventually(t, "all threads to stand still", func() bool { return stopped(a.cmd.Process.Pid) })
 	c, err := net.Dial("tcp", strings.TrimPrefix(a.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
@@ -544,6 +546,18 @@
 	}
 }
 
+// stopped tells whether every thread of a process stands still by a signal.
+func stopped(pid int) bool {
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	for _, name := range threads {
+		stat, err := os.ReadFile(name)
+		if _, state, _ := strings.Cut(string(stat), ") "); err != nil || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
+
 // SIGHUP moves the agent to the addresses that the file names now, without losing a change; a faulty file changes
 // nothing, and other keys are named.
 func TestReload(t *testing.T) {
