Judge by the launcher's counts or the bench's word, sizes from reports, more turns when cold

Lines: judge.verdict and bar (all agents alike wait for the bench), desk.turn (one core and one agent's txn a turn taken for granted), appliance.weight (the list's 1).

Now: where agents may talk, the bench tells its opinion each second and the others follow what most of it hold; where they may not and the launcher counts, survey weighs its counts per product beside the earlier build's, at most 2 a period, and an error of one's own must confirm a vote back. qps by util is an appliance's size where the list has none, also for the cold budget. More agents are in turn where each has few txns.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -32,7 +32,39 @@
 	return min(1, a.cold.From+(1-a.cold.From)*float64(max(0, a.now-a.Started))/float64(a.cold.Warm))
 }
 
-func (a *appliance) weight() float64 { return max(a.Weight, 1e-9) * a.pace() }
+// weight is the told size, or else what the reports show that it can do, by what it can do of it while cold.
+func (a *appliance) weight() float64 {
+	size := a.Weight
+	if !a.fleet.sized && a.fleet.size > 0 {
+		if size = a.fleet.size; a.busy >= leastBusy {
+			size = min(max(a.rate/a.busy, size/sizeApart), size*sizeApart)
+		}
+	}
+	return max(size, 1e-9) * a.pace()
+}
+
+const (
+	// reportFade: some ten reports, as each counts few txns. leastBusy: three reports of one half busy.
+	reportFade, leastBusy = 0.1, 0.15
+	// sizeApart bounds what a report can make of an appliance.
+	sizeApart = 3
+	// fleetFade: a hundred reports of all appliances.
+	fleetFade = 0.01
+)
+
+// size learns from a load report what the appliance can do: what it serves by how busy that makes it.
+func (a *appliance) measure(load []float32, at Report) {
+	if at.Busy == 0 || at.Rate == 0 || len(load) < max(at.Busy, at.Rate) || a.pace() < 1 {
+		return
+	}
+	busy, rate, f := float64(load[at.Busy-1]), float64(load[at.Rate-1]), a.fleet
+	if a.rate, a.busy = a.rate+(rate-a.rate)*reportFade, a.busy+(busy-a.busy)*reportFade; busy >= leastBusy {
+		if f.size == 0 {
+			f.size = rate / busy
+		}
+		f.size += (rate/busy - f.size) * fleetFade
+	}
+}
 
 func (a *appliance) ready() bool { return a.State == Ready }
 
@@ -215,6 +247,8 @@
 		if d.post.WarmKeys && n.Key != 0 { // elsewhere a key's own place only strains it when the key is hot
 			t.spot = mix(mix(h^ringSalt) - 1 - d.arc(n.Key)) // never an appliance's own point
 		}
+		d.pulse += (float64(min(t.at-d.lastCame, second*10)) - d.pulse) * usualFade
+		d.lastCame = t.at
 		d.txns[n.ID] = t
 		d.enter(n.Product, takenMark)
 		d.route(t)
@@ -269,6 +303,7 @@
 		k.product, k.sla = t.Product, d.products[t.Product].SLA
 	}
 	a.put(k)
+	a.measure(n.Load, d.post.Report)
 	d.judge.put(k)
 	z := d.zone(a.Zone)
 	if z.out--; k.sla > 0 && n.Outcome != Errored && n.Outcome < Moot {
@@ -362,9 +397,12 @@
 
 // coldPart is an agent's part of what a cold appliance can take; where it is under one txn, they take turns.
 func (d *desk) coldPart(a *appliance) float64 {
-	return coldShare * d.cold.Multiple * a.pace() * float64(d.cold.After) / float64(d.post.Agents)
+	return coldShare * d.cold.Multiple * a.pace() * float64(d.cold.After) * d.carries() / float64(d.post.Agents)
 }
 
+// carries is the work that a warm appliance does at one time: one core's where no report shows more.
+func (d *desk) carries() float64 { return max(1, d.fleet.size*d.usual/float64(second)) }
+
 func (d *desk) turns(a *appliance) bool { return a.pace() < 1 && d.coldPart(a) < d.usual }
 
 // coldLoad is the load that turns give a cold appliance: what a busy fleet carries, well inside any multiple.
@@ -377,11 +415,14 @@
 	if a.Zone != d.post.Zone || len(a.sends) > 0 && a.sends[len(a.sends)-1].at > d.now-d.cold.After {
 		return false
 	}
+	// Of agents that take little, few have a txn in their turn, so that more may be in turn at once.
+	some := 1 - math.Exp(-float64(d.cold.After)*d.share/max(1, d.pulse))
+	load := d.carries() * min(coldLoad/max(some, 1e-9), max(coldLoad, coldShare*d.cold.Multiple))
 	_, place := math.Modf(float64(d.post.Me)*math.Phi + float64(mix(uint64(a.ID))>>40)/(1<<24))
 	due := func(age float64) float64 {
 		age = max(0, age)
 		paced := age * (d.cold.From + (1-d.cold.From)*age/2/float64(d.cold.Warm))
-		return math.Floor(place + coldLoad*paced*float64(d.fleet.zones)/d.usual/float64(d.post.Agents))
+		return math.Floor(place + load*paced*float64(d.fleet.zones)/d.usual/float64(d.post.Agents))
 	}
 	age := float64(d.now - a.Started)
 	return due(age) > due(age-float64(d.cold.After))
@@ -462,6 +503,7 @@
 		return
 	}
 	top, share := d.slice()
+	d.share = share
 	order := [...]int{earlier, trial, leaving}
 	if t.fraction < share {
 		order[0], order[1] = trial, earlier
@@ -588,14 +630,14 @@
 	if st.Agents <= seats {
 		return
 	}
-	j.bench, j.me = lot(st.Agents, seats, ringSalt), st.Me
-	j.sits = slices.Contains(j.bench, st.Me)
+	j.bench = lot(st.Agents, seats, ringSalt)
+	j.sits, j.words = slices.Contains(j.bench, st.Me), make([]word, seats)
 }
 
 func (j *judge) take(n note) {
 	switch n := n.(type) {
 	case Heard:
-		for _, l := range j.lines(n.Text) {
+		for _, l := range j.lines(n.From, n.Text) {
 			j.put(l)
 		}
 	case Staged:
@@ -605,13 +647,16 @@
 				j.quiet += fullPause - voteRetry + j.upTo(fullPause)
 			}
 		}
-		same := n.Build == j.build && n.Stage == j.stage
+		same := n.Build == j.build && (n.Stage == j.stage || j.polls())
 		if j.hear(n) {
 			j.cast = NoVote
 			for _, a := range j.fleet.all {
 				a.put(say{anew: !same}) // a release takes its last stage's evidence along
 			}
 			j.seen, j.sum = j.seen*int(one(same)), j.sum*one(same)
+			if n.Build != j.polled {
+				j.poll, j.polled = 0, n.Build
+			}
 			j.since = max(j.now-n.Age, j.began)
 		}
 	case told:
@@ -635,11 +680,19 @@
 			}
 			j.dose *= 1 - doseFade
 		}
+	case word:
+		if i := slices.Index(j.bench, n.from); i >= 0 {
+			j.words[i] = n
+		}
 	case turned:
 		if !n.peer {
 			j.pass(told{Ended: Ended{Outcome: turnedLine}, by: &appliance{}})
 		}
 		j.inTime(false)
+	case Tallied:
+		if j.polls() && n.Many > 0 && n.Product < len(j.products) && n.Build <= j.build && !j.spoiled[n.Build] {
+			j.tallies = append(j.tallies, n)
+		}
 	case Flagged:
 		if a := j.fleet.byID[n.Appliance]; a != nil {
 			j.weigh(a, failures, true)
@@ -648,6 +701,7 @@
 		if len(j.sheet) > 0 && j.now >= j.sheetAt+sheetEvery {
 			j.send()
 		}
+		j.survey()
 		j.feel()
 		j.vote()
 	}
@@ -694,6 +748,60 @@
 	j.sum = max(j.sum+min(a.fails+step, most)-min(a.fails, most), -crossing-1)
 }
 
+const (
+	// periodFade: the last three or four periods are compared with. periodSays bounds what one adds: two must.
+	periodFade, periodSays = 0.7, 2
+	// slowTimes is a build that is slow; goodTimes what a good one may be beside warm appliances.
+	slowTimes, goodTimes = 1.6, 1.15
+)
+
+// survey weighs what the launcher counted in a period over all agents, the same for all: the design's ratio,
+// product by product, and the one of answer times, beside an earlier build that was counted in the same period.
+func (j *judge) survey() {
+	if len(j.tallies) == 0 {
+		return
+	}
+	slices.SortStableFunc(j.tallies, func(a, b Tallied) int { return cmp.Compare(a.Build, b.Build) })
+	for p := range j.earlier {
+		e := &j.earlier[p]
+		*e = sampled{e.many * periodFade, e.lost * periodFade, e.took * periodFade}
+	}
+	fails, late, beside := 0.0, 0.0, 0
+	for _, n := range j.tallies {
+		e, good, lost := &j.earlier[n.Product], float64(n.Many-n.Lost), float64(n.Lost)
+		if n.Build < j.build || j.settled() {
+			*e = sampled{e.many + float64(n.Many), e.lost + lost, e.took + good*float64(n.Took)}
+			beside += n.Many
+			continue
+		}
+		mean := e.took / max(1, e.many-e.lost) / j.fleet.warmth(j.build)
+		r0 := max(0.01, e.lost/max(1, e.many), math.Exp(-float64(j.products[n.Product].SLA)/max(1, mean)))
+		r1 := min(3*r0, 0.95)
+		r0 = min(r0, r1/1.05)
+		fails += lost*math.Log(r1/r0) + good*math.Log((1-r1)/(1-r0))
+		if usual := goodTimes * mean; usual > 0 {
+			late += good * (float64(n.Took)/usual*(1-1/slowTimes) - math.Log(slowTimes))
+		}
+	}
+	if j.tallies = j.tallies[:0]; beside >= leastSeen && !j.settled() {
+		j.poll = max(j.poll+min(fails+max(0, late), periodSays), -crossing-1)
+	}
+}
+
+// warmth is the mean of what a build's ready appliances surely can, by now.
+func (f *fleet) warmth(build int) float64 {
+	sum, n := 0.0, 0.0
+	for _, a := range f.all {
+		if a.ready() && a.Build == build {
+			sum, n = sum+a.pace(), n+1
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / n
+}
+
 // parts is into how many the saved up crossing is parted: a build's appliances, so that all must have spoken
 // to go on early; of a large build those heard, as one of many agents meets few of them.
 func (j *judge) parts(a *appliance) float64 {
@@ -847,19 +955,23 @@
 
 // bar is the crossing to vote back at: higher for one of many who decide alone, lower where many must agree.
 func (j *judge) bar() float64 {
-	if !j.judges() {
+	if j.sits {
+		return crossing // what they hold decides for all
+	}
+	if !j.judges() || j.polls() {
 		return crossing + math.Log(float64(j.agents))
 	}
 	return max(holdAbove, crossing-math.Log(float64(max(1, j.polling.ToGoBack))))
 }
 
-func (j *judge) verdict() Verdict {
-	ratio, least, bar := j.ratio(), leastSeen/max(1, j.polling.ToGoBack), j.bar()
+// opinion is the verdict without the clock.
+func (j *judge) opinion(ratio float64) Verdict {
+	least, bar := leastSeen/max(1, j.polling.ToGoBack), j.bar()
 	drags, last := !j.settled(), j.stage == len(j.plan.Caps)-1
 	switch {
 	case j.build == 0 || j.spoiled[j.build]:
 		return NoVote
-	case j.seen >= least && ratio >= bar,
+	case j.seen >= least && ratio >= bar, j.polls() && j.poll >= crossing && ratio >= holdAbove,
 		drags && j.judges() && j.slow >= dragLasts:
 		return Back
 	case j.phase != OnTrial:
@@ -869,9 +981,35 @@
 	case j.sits && !last && j.dose >= pausesFrom && (j.middle >= dragTimes || j.share < shareDone*j.calmShare):
 		return NoVote // it hears all, and that they slow with the build's part: no need to wait how long it lasts
 	case j.polling.Ballot == BallotTimer, drags && !last && j.slow >= dragPauses && j.dose >= pausesFrom,
-		last && (drags && j.slow >= dragHolds || j.share < shareDone):
+		last && (drags && j.slow >= dragHolds || j.share < shareDone),
+		ratio > holdAbove, j.polls() && j.poll > holdAbove:
 		return NoVote
 	}
+	return On
+}
+
+// polls tells whether the launcher's counts stand in for what agents who may not talk can't tell each other.
+func (j *judge) polls() bool { return j.polling.Tally > 0 && j.bench == nil }
+
+// wordEvery, wordLasts: two words in a row may be lost.
+const wordEvery, wordLasts = 1 * second, 3 * second
+
+// verdict is the agent's own opinion, or off the bench what most of the bench hold; on only by the clock.
+func (j *judge) verdict() Verdict {
+	ratio, last := j.ratio(), j.stage == len(j.plan.Caps)-1
+	v := j.opinion(ratio)
+	most, told := j.most()
+	if j.sits {
+		if v != j.holds || (v != NoVote || j.phase == OnTrial) && j.now >= j.wordAt+wordEvery {
+			j.holds, j.wordAt = v, j.now
+			j.tell(v)
+		}
+	} else if told && v != Back {
+		v = most
+	}
+	if v != On {
+		return v
+	}
 	if j.fleet.count(j.build) == 0 {
 		return NoVote // its list is behind: to go on unseen takes away the appliances that it knows of
 	}
@@ -884,11 +1022,11 @@
 	if last && len(j.times) < j.lasts() && j.polling.ToGo <= 1 {
 		clock -= blindWait // this agent can not feel a drag; where one vote is enough, others may
 	}
-	if !j.judges() {
+	if !j.judges() && !told {
 		clock -= benchWait
 	}
 	if j.seen >= leastSeen && ratio <= -crossing && min(clock, j.now-newest) >= onAfter ||
-		clock >= stageClock && ratio <= holdAbove {
+		clock >= stageClock {
 		return On
 	}
 	return NoVote
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -148,7 +148,7 @@
 		for _, row := range n.Rows {
 			a := f.byID[row.ID]
 			if a == nil {
-				a = &appliance{line: f.line, probes: f.probes, cold: f.cold, least: f.least, points: points(row.ID, f.points, f.salt)}
+				a = &appliance{line: f.line, fleet: f, probes: f.probes, cold: f.cold, least: f.least, points: points(row.ID, f.points, f.salt)}
 				f.byID[row.ID], f.all = a, append(f.all, a)
 			}
 			a.listed = true
@@ -249,7 +249,8 @@
 }
 
 // An outcome on its way to a peer takes lineBytes: appliance, build, product, outcome and whole ms.
-const lineBytes, turnedLine = 9, 0xff
+// A word of the bench is a line too: build, stage, verdict.
+const lineBytes, turnedLine, wordLine = 9, 0xff, 0xfe
 
 func putLine(to []byte, n told) []byte {
 	to = binary.LittleEndian.AppendUint32(to, n.Appliance)
@@ -258,12 +259,16 @@
 }
 
 // lines reads a peer's sheet; what is not known here is skipped.
-func (j *judge) lines(sheet []byte) (out []note) {
+func (j *judge) lines(from int, sheet []byte) (out []note) {
 	for ; len(sheet) >= lineBytes; sheet = sheet[lineBytes:] {
 		if sheet[6] == turnedLine {
 			out = append(out, turned{peer: true})
 			continue
 		}
+		if sheet[6] == wordLine {
+			out = append(out, word{from, int(binary.LittleEndian.Uint32(sheet)), int(sheet[4]), Verdict(sheet[5]), j.now})
+			continue
+		}
 		a, p := j.fleet.byID[binary.LittleEndian.Uint32(sheet)], int(sheet[5])
 		if a == nil || byte(a.Build) != sheet[4] || p >= len(j.products) || sheet[6] > byte(Spoilt) {
 			continue
@@ -297,6 +302,33 @@
 	}
 }
 
+// tell gives a word to all who are not on the bench.
+func (j *judge) tell(v Verdict) {
+	text := binary.LittleEndian.AppendUint32(nil, uint32(j.build))
+	text = append(text, byte(j.stage), byte(v), wordLine, 0, 0)
+	for i := range j.agents {
+		if !slices.Contains(j.bench, i) {
+			j.give(Tell{To: i, Text: text})
+		}
+	}
+}
+
+// most is what more than half of the bench hold of this stage, if their words are new enough.
+func (j *judge) most() (Verdict, bool) {
+	var says [Back + 1]int
+	for _, w := range j.words {
+		if w.build == j.build && (w.stage == j.stage || w.verdict == Back) && w.verdict <= Back && j.now-w.at < wordLasts {
+			says[max(0, w.verdict)]++
+		}
+	}
+	for v, n := range says {
+		if 2*n > seats {
+			return Verdict(v), true
+		}
+	}
+	return NoVote, false
+}
+
 func (j *judge) send() {
 	for _, i := range j.bench {
 		if i != j.me {
@@ -319,10 +351,10 @@
 func New(st Station, products []Product, plan LaunchPlan, polling Polling, count Exposure, cold ColdStart,
 	hand Handover, may Licence, fares Fares) Router {
 	g := &agent{line: &line{chance: rand.New(rand.NewSource(st.Seed)), began: -1}}
-	g.fleet = &fleet{line: g.line, byID: map[uint32]*appliance{}, probes: may.Probe, cold: cold,
+	g.fleet = &fleet{line: g.line, byID: map[uint32]*appliance{}, probes: may.Probe, cold: cold, sized: st.Sized,
 		points: ringPoints, salt: ringSalt, least: 1 / float64(st.Agents)} // one open of all agents together
 	g.judge = &judge{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet,
-		polling: polling, products: products, agents: st.Agents, share: 1, calm: make([]float64, len(products)), calmSeen: make([]float64, len(products))}
+		polling: polling, products: products, agents: st.Agents, me: st.Me, earlier: make([]sampled, len(products)), share: 1, calm: make([]float64, len(products)), calmSeen: make([]float64, len(products))}
 	if may.Tell {
 		g.judge.seat(st)
 	}
--- a/brain/port.go
+++ b/brain/port.go
@@ -45,6 +45,8 @@
 	Me, Agents, Zone int
 	Seed             int64
 	WarmKeys         bool // appliances work faster for keys that they met lately
+	Sized            bool // the list tells the sizes of appliances
+	Report           Report
 }
 
 // Product is one kind of txn.
@@ -73,8 +75,9 @@
 	Stands    Micros // a vote lapses after this
 	Patience  Micros // longest wait for the answer to a vote
 	CallsPerS float64
-	ToGo      int // votes that move a stage on
-	ToGoBack  int // votes that send a build back
+	ToGo      int    // votes that move a stage on
+	ToGoBack  int    // votes that send a build back
+	Tally     Micros // the launcher tells every so often what it counted over all agents; 0: never
 }
 
 // Exposure is the count that a build on trial is held to.
@@ -105,6 +108,13 @@
 	Probe, CallOff, Tell, Ask bool
 }
 
+// Report tells where in a load report a figure stands, from 1 on; 0 where it is not reported.
+type Report struct {
+	Busy int // how busy its cores are
+	Rate int // the txns that it serves each second
+	Held int // the txns that it holds
+}
+
 // Fares are prices, as parts of the result.
 type Fares struct {
 	CrossZone, Waste, Probe, Tell float64
--- a/brain/record.go
+++ b/brain/record.go
@@ -14,6 +14,11 @@
 		least float64 // that its sum does not go below
 		anew  bool
 	} // evidence on its build; or a new stage, where it starts anew
+	word struct { // what one of the bench holds of the build
+		from, build, stage int
+		verdict            Verdict
+		at                 Micros
+	}
 	turned struct{ peer bool } // a txn was turned away, here or at a peer
 	sent   struct {
 		work float64
@@ -61,6 +66,8 @@
 	probes bool
 	cold   ColdStart
 	least  float64 // the lowest limit
+	sized  bool    // the list tells sizes
+	size   float64 // txns a second that an appliance can do, by the reports; 0: not known
 	zones  int     // seen in the list so far
 	points int     // an appliance, on the ring
 	salt   uint64
@@ -71,6 +78,7 @@
 	inbox
 	*line
 	Row
+	fleet  *fleet
 	listed bool
 	queued bool // in the loop's mail
 	points []uint64
@@ -95,6 +103,7 @@
 	strikes     int     // silent outcomes in a row
 	heard       Micros  // its last answer
 	full, aside Micros  // left alone until then
+	rate, busy  float64 // reported while warm, fading
 	asking      bool    // a probe is out
 }
 
@@ -172,6 +181,9 @@
 	returns  float64            // the moving share of those who come back
 	jammed   Micros             // when a txn was last given up
 	usual    float64            // moving mean of told work, or else of answer times
+	pulse    float64            // moving mean of the time between two txns
+	lastCame Micros
+	share    float64 // the slice
 }
 
 // judge weighs the build on trial and votes.
@@ -183,14 +195,20 @@
 	polling              Polling
 	since                Micros // the stage's start, or this agent's if later
 	seen                 int
-	sum                  float64    // of failures, over all of the build's appliances
+	sum                  float64   // of failures, over all of the build's appliances
+	tallies              []Tallied // not weighed yet
+	earlier              []sampled // by product: what the launcher counted of earlier builds, fading
+	polled               int
+	poll                 float64    // what its counts say against the build
 	good, bad            [2]float64 // the earlier build's outcomes, fading
 	products             []Product
 	bench                []int // the agents who judge for all; none where each judges alone
 	me, agents           int
 	sits                 bool   // this agent is one of them
 	sheet                []byte // outcomes that they have not been told yet
-	sheetAt              Micros
+	sheetAt, wordAt      Micros
+	words                []word // the last of each of them
+	holds                Verdict
 	cast, want           Verdict
 	wantAt               Micros // since when it has wanted that
 	castAt, quiet        Micros
@@ -209,6 +227,9 @@
 	who       uint64
 }
 
+// sampled is what the launcher counted.
+type sampled struct{ many, lost, took float64 }
+
 // popular is how much one key was taken lately.
 type popular struct {
 	load float64
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -41,8 +41,9 @@
 	builds map[uint32]int
 	on     map[uint64]uint32
 	wakes  []Micros
-	log    []Order // all orders
-	since  int     // where the last event's begin
+	load   []float32 // the report that comes with an ending
+	log    []Order   // all orders
+	since  int       // where the last event's begin
 	checks int
 }
 
@@ -118,10 +119,11 @@
 		caps = append(caps, s.num(c))
 	}
 	span := func(k string, def float64) Micros { return Micros(s.val(m, k, def)) * ms }
-	s.r = New(Station{Me: int(s.val(m, "me", 0)), Agents: int(s.val(m, "agents", 1)), Seed: 7, WarmKeys: m["warmkeys"] != ""}, s.prods,
+	s.r = New(Station{Me: int(s.val(m, "me", 0)), Agents: int(s.val(m, "agents", 1)), Seed: 7, WarmKeys: m["warmkeys"] != "",
+		Sized: m["unsized"] == "", Report: map[string]Report{"1": {Busy: 1, Rate: 2}}[m["reports"]]}, s.prods,
 		LaunchPlan{Caps: caps, Guarded: int(s.val(m, "guarded", 0)), OneWay: m["oneway"] != "", InPlace: m["inplace"] != ""},
 		Polling{Ballot: map[string]Ballot{"": BallotAny, "share": BallotShare, "timer": BallotTimer}[m["ballot"]],
-			Stands: span("stands", 4000), ToGoBack: int(s.val(m, "togoback", 1)), CallsPerS: s.val(m, "calls", 0)},
+			Stands: span("stands", 4000), Tally: span("tally", 0), ToGo: int(s.val(m, "togo", 0)), ToGoBack: int(s.val(m, "togoback", 1)), CallsPerS: s.val(m, "calls", 0)},
 		Exposure{Window: span("window", 4000), Free: s.val(m, "free", 3), ByProduct: m["byproduct"] != ""},
 		ColdStart{From: s.val(m, "from", 0.3), Warm: span("warm", 5000), Multiple: s.val(m, "multiple", 2), After: span("after", 1500)},
 		Handover{MaxSubmissions: int(s.val(m, "max", 3))}, Licence{Ask: m["ask"] != "", Probe: m["probe"] != "", Tell: m["tell"] != ""}, Fares{})
@@ -217,6 +219,16 @@
 		}
 	case "probed":
 		s.give(Probed{Appliance: uint32(s.num(w[0])), Outcome: outcomeWords[w[1]]})
+	case "tally": // BUILD PRODUCT MANY LOST took=
+		s.give(Tallied{Build: int(s.num(w[0])), Product: int(s.num(w[1])), Many: int(s.num(w[2])), Lost: int(s.num(w[3])),
+			Took: Micros(s.val(opts(w[4:]), "took", 0)) * ms, Age: second})
+	case "word": // SEAT BUILD STAGE VERDICT, what one of the bench holds; a number over the seats is another agent
+		from := int(s.num(w[0]))
+		if bench := lot(int(s.val(s.words, "agents", 1)), seats, ringSalt); from < len(bench) {
+			from = bench[from]
+		}
+		v := map[string]Verdict{"none": NoVote, "on": On, "back": Back}[w[3]]
+		s.give(Heard{From: from, Text: []byte{byte(s.num(w[1])), 0, 0, 0, byte(s.num(w[2])), byte(v), wordLine, 0, 0}})
 	case "flag":
 		for n := s.num(w[1]); n > 0; n-- { // ID TIMES
 			s.give(Flagged{Appliance: uint32(s.num(w[0]))})
@@ -240,6 +252,12 @@
 				if s.builds[a] == int(s.val(m, "slow", -1)) || slices.Contains(strings.Split(m["slowat"], ","), fmt.Sprint(a)) {
 					took = 1500 * ms
 				}
+				s.load = nil
+				for _, x := range strings.Split(m["rates"], ",") { // ID:RATE, what its reports say at that busy=
+					if who, rate, told := strings.Cut(x, ":"); told && a == uint32(s.num(who)) {
+						s.load = []float32{float32(s.val(m, "busy", 0)), float32(s.num(rate))}
+					}
+				}
 				s.end(id, how, took)
 			}
 			s.until(s.now + Micros(s.val(m, "every", 20))*ms)
@@ -259,7 +277,7 @@
 func (s *stage) end(id uint64, how Outcome, took Micros) {
 	a := s.on[id]
 	delete(s.on, id)
-	s.give(Ended{ID: id, Appliance: a, Outcome: how, Took: took, Over: how == OK})
+	s.give(Ended{ID: id, Appliance: a, Outcome: how, Took: took, Over: how == OK, Load: s.load})
 }
 
 func (s *stage) expect(w []string) {
--- a/charter/terms.go
+++ b/charter/terms.go
@@ -180,7 +180,19 @@
 // Open starts a module on these terms.
 func (t *Terms) Open(seed uint64) (brain.Router, error) {
 	st := brain.Station{Me: t.count("Me"), Agents: t.count("Balancers"), Zone: t.count("Zone"), Seed: int64(seed),
-		WarmKeys: t.flag("FamilyInfo.WarmKeys")}
+		WarmKeys: t.flag("FamilyInfo.WarmKeys"), Sized: t.pairs["Weights"] != "off"}
+	if t.pairs["Feedback.How"] == "inline" {
+		for i, field := range t.words("Feedback.Fields") {
+			switch field {
+			case "utilization":
+				st.Report.Busy = i + 1
+			case "throughput":
+				st.Report.Rate = i + 1
+			case "outstanding":
+				st.Report.Held = i + 1
+			}
+		}
+	}
 	if st.Agents < 1 {
 		t.fail("Balancers", fmt.Sprintf("is %d; there is one agent at least, this one", st.Agents))
 	}
@@ -208,6 +220,9 @@
 		CallsPerS: t.num("FamilyInfo.ApiRate"), ToGo: t.count("FamilyInfo.VotesToGo"),
 		ToGoBack: t.count("FamilyInfo.NoesNeeded"), Ballot: pick(t, "FamilyInfo.VoteMode", map[string]brain.Ballot{
 			"any": brain.BallotAny, "share": brain.BallotShare, "timer": brain.BallotTimer})}
+	if t.has("FamilyInfo.TallyEveryMs") {
+		polling.Tally = t.ms("FamilyInfo.TallyEveryMs")
+	}
 	count := brain.Exposure{Window: t.ms("FamilyInfo.CountedOverMs"), Free: t.num("FamilyInfo.Allowance"),
 		ByProduct: pick(t, "FamilyInfo.CountedBy", map[string]bool{"class": true, "all": false})}
 	cold := brain.ColdStart{From: t.num("Safety.ColdFrom"), Warm: t.ms("Safety.ColdMs"),
