The bench hears all that is sent and tells all agents which hosts are busy

An agent of two txns a second meets each of 250 hosts once in two minutes, so limits, bounded load and reports of its own never speak. Agents now also tell the bench what they send, at once; one of the five tells all each 200 ms, in 64 bytes of bits by hashed id, which hosts hold over 1.25 of the mean. Those come last on the ring, as those past their part of the load. Only where hosts report what they hold, which sets right what lost messages leave.

Where all is heard (bench, or the launcher's counts) and no more is submitted than in the calm, it counts threefold. The median is held against the calm's own.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -100,9 +100,16 @@
 		}
 		a.out++
 		a.sends = append(a.sends, load{a.now, n.work})
+	case went:
+		a.held++
 	case told:
-		a.out, a.waits = max(0, a.out-1), a.now
-		a.learn(n)
+		if a.held = max(0, a.held-1); n.held >= 0 {
+			a.held += (n.held - a.held) * reportTrust // messages may be lost
+		}
+		if !n.peer {
+			a.out, a.waits = max(0, a.out-1), a.now
+			a.learn(n)
+		}
 	case say:
 		a.late = max(a.late+n.late, -crossing-1)
 		if n.step != 0 {
@@ -300,7 +307,10 @@
 		delete(d.txns, n.ID)
 		t = nil // the txn is over for all else
 	}
-	k := told{Ended: n, by: a, product: -1}
+	k := told{Ended: n, by: a, product: -1, held: -1}
+	if at := d.post.Report.Held; at > 0 && at <= len(n.Load) {
+		k.held = float64(n.Load[at-1])
+	}
 	_, _, k.trial = d.capped(a.Build)
 	if t != nil {
 		k.product, k.sla = t.Product, d.products[t.Product].SLA
@@ -449,6 +459,7 @@
 	}
 	d.zone(a.Zone).out++
 	a.put(sent{d.work(t), d.products[t.Product].SLA})
+	d.judge.put(went{to: a})
 	d.give(Submit{ID: t.ID, Appliance: a.ID, Patience: d.patience(t)})
 }
 
@@ -614,7 +625,7 @@
 		if float64(a.out) >= math.Ceil(loadSlack*(held+1)*a.weight()/weight) {
 			by *= lastResort // past its part of the load
 		}
-		if slices.Contains(t.tried, a) {
+		if slices.Contains(t.tried, a) || d.fleet.busy(a) {
 			by *= lastResort
 		}
 		if by < bestBy {
@@ -624,6 +635,12 @@
 	return best
 }
 
+// busy tells whether the bench's last digest calls it so.
+func (f *fleet) busy(a *appliance) bool {
+	at, bit := spot(a.ID)
+	return len(f.digest) == digestBytes && f.now-f.digestAt < digestLasts && f.digest[at]&bit != 0
+}
+
 // answer is the one final answer of a txn that was not settled: a decline where a repeat does no harm.
 func (d *desk) answer(t *txn) {
 	p := &d.products[t.Product]
@@ -669,12 +686,17 @@
 		return
 	}
 	j.bench = lot(st.Agents, seats, ringSalt)
+	j.shares = st.Report.Held > 0
 	j.sits, j.words = slices.Contains(j.bench, st.Me), make([]word, seats)
 }
 
 func (j *judge) take(n note) {
 	switch n := n.(type) {
 	case Heard:
+		if len(n.Text) == digestBytes && slices.Contains(j.bench, n.From) {
+			j.fleet.digest, j.fleet.digestAt = n.Text, j.now
+			return
+		}
 		for _, l := range j.lines(n.From, n.Text) {
 			j.put(l)
 		}
@@ -698,7 +720,9 @@
 			j.since = max(j.now-n.Age, j.began)
 		}
 	case told:
-		if !n.peer && !n.own {
+		if n.peer {
+			n.by.put(n) // for its load
+		} else if !n.own {
 			j.pass(n)
 		}
 		// A time-out says that something is overloaded, not what: good builds were sent back for it.
@@ -722,6 +746,11 @@
 		if i := slices.Index(j.bench, n.from); i >= 0 {
 			j.words[i] = n
 		}
+	case went:
+		j.sent++
+		if n.to.put(n); !n.peer && j.shares {
+			j.pass(told{Ended: Ended{Appliance: n.to.ID, Outcome: wentLine}, by: n.to})
+		}
 	case turned:
 		if !n.peer {
 			j.pass(told{Ended: Ended{Outcome: turnedLine}, by: &appliance{}})
@@ -739,6 +768,7 @@
 		if len(j.sheet) > 0 && j.now >= j.sheetAt+sheetEvery {
 			j.send()
 		}
+		j.summarise()
 		j.survey()
 		j.feel()
 		j.vote()
@@ -786,6 +816,44 @@
 	j.sum = max(j.sum+min(a.fails+step, most)-min(a.fails, most), -crossing-1)
 }
 
+const (
+	// digestEvery, by each of the bench in turn; of the last digests one or two may be lost.
+	digestEvery, digestLasts = 1000 * ms, 1000 * ms
+	// reportTrust: reports are late and noisy, and set right what lost messages left.
+	reportTrust = 0.2
+	// busyMore than loadSlack of the mean is busy: with few txns each, one more is chance.
+	busyMore = 0
+)
+
+// summarise tells all agents which appliances hold more than their part. Where each agent meets an appliance once in a
+// minute, no limit of its own can tell; the bench hears what all answers say. It may be a second old.
+func (j *judge) summarise() {
+	if i := slices.Index(j.bench, j.me); i < 0 || !j.shares || j.now < j.digestAt+digestEvery {
+		return
+	} else if j.digestAt == 0 {
+		j.digestAt = j.now - digestEvery*Micros(i)/seats // in turn
+		return
+	}
+	j.digestAt = j.now
+	held, weight := 0.0, 0.0
+	for _, a := range j.fleet.all {
+		if a.ready() {
+			held, weight = held+a.held, weight+a.weight()
+		}
+	}
+	text := make([]byte, digestBytes)
+	for _, a := range j.fleet.all {
+		if a.ready() && a.held > loadSlack*held*a.weight()/weight+busyMore {
+			at, bit := spot(a.ID)
+			text[at] |= bit
+		}
+	}
+	if weight > 0 {
+		j.toll(text)
+		j.fleet.digest, j.fleet.digestAt = text, j.now
+	}
+}
+
 const (
 	// periodFade: the last three or four periods are compared with. periodSays bounds what one adds: two must.
 	periodFade, periodSays = 0.7, 2
@@ -804,9 +872,14 @@
 		e := &j.earlier[p]
 		*e = sampled{e.many * periodFade, e.lost * periodFade, e.took * periodFade}
 	}
-	fails, late, beside := 0.0, 0.0, 0
+	fails, late, beside, at, took, calm, many := 0.0, 0.0, 0, 0.0, 0.0, 0.0, 0.0
 	for _, n := range j.tallies {
 		e, good, lost := &j.earlier[n.Product], float64(n.Many-n.Lost), float64(n.Lost)
+		many += float64(n.Many)
+		at += float64(n.Many) * one(n.Build == j.build)
+		if j.calmSeen[n.Product] >= leastSeen {
+			took, calm = took+good*float64(n.Took), calm+good*j.calm[n.Product]
+		}
 		if n.Build < j.build || j.settled() {
 			*e = sampled{e.many + float64(n.Many), e.lost + lost, e.took + good*float64(n.Took)}
 			beside += n.Many
@@ -821,6 +894,7 @@
 			late += good * (float64(n.Took)/usual*(1-1/slowTimes) - math.Log(slowTimes))
 		}
 	}
+	j.sampleMiddle, j.sampleDose, j.in = took/max(1, calm), at/many, many
 	if j.tallies = j.tallies[:0]; beside >= leastSeen && !j.settled() {
 		j.poll = max(j.poll+min(fails+max(0, late), periodSays), -crossing-1)
 	}
@@ -949,6 +1023,9 @@
 	dragHolds, dragPauses, dragLasts = 0.5e6, 0.2e6, 9e6
 	// doneSpan and calmSpan: completions are averaged over these times.
 	doneSpan, calmSpan = 3 * second, 10 * second
+	// Where the outcomes of all are known, a drag with stepFrom of the txns at the build and less than stepIn of the
+	// calm's submissions comes in step with the build: it counts stepPart, so that three to five seconds send it back.
+	stepFrom, stepIn, stepPart = 0.1, 1.2, 3
 	// settleAfter its release, a build counts as part of the calm.
 	settleAfter = 25 * second
 )
@@ -967,25 +1044,45 @@
 	whole := j.fleet.whole()
 	age, dt := float64(j.now-j.began)+1, float64(j.now-j.feltAt)
 	rate := j.done / max(1, dt)
-	j.done, j.feltAt = 0, j.now
+	if !j.polls() {
+		j.in += (j.sent/max(1, dt) - j.in) * min(1, max(dt/float64(doneSpan), dt/age))
+	}
+	j.done, j.sent, j.feltAt = 0, 0, j.now
 	j.rate += (rate - j.rate) * min(1, max(dt/float64(doneSpan), dt/age))
 	if j.calmNow() {
 		part := min(1, max(dt/float64(calmSpan), dt/age))
 		j.calmRate += (rate - j.calmRate) * part
+		j.calmIn += (j.in - j.calmIn) * part
 		j.calmFleet += (whole - j.calmFleet) * part
 	}
 	middle, full := 0.0, whole >= wholeFleet*j.calmFleet
 	if len(j.times) == j.lasts() && full {
 		middle = median(j.times)
 	}
+	if j.shares && middle > 0 { // it hears enough to compare medians
+		if j.calmMiddle == 0 {
+			j.calmMiddle = middle
+		}
+		if j.calmNow() {
+			j.calmMiddle += (middle - j.calmMiddle) * min(1, max(dt/float64(calmSpan), dt/age))
+		}
+		middle /= max(j.calmMiddle, 1e-9)
+	}
+	part := j.dose
+	if j.polls() {
+		middle, j.dose = j.sampleMiddle*one(full), j.sampleDose
+	}
+	if (j.shares || j.polls()) && j.dose >= stepFrom && j.in < stepIn*j.calmIn {
+		part = stepPart
+	}
 	j.middle = middle
 	switch {
 	case middle >= dragTimes && j.rate < dragDone*j.calmRate,
 		j.rate < collapse*j.calmRate && j.share < rateDone*j.calmShare, // not just the agent's traffic that ends
 		full && j.share < shareDone*j.calmShare && j.rate < rateDone*j.calmRate:
-		j.slow += dt * j.dose
+		j.slow += dt * part
 	case middle >= dragAlone:
-		j.slow += dt * j.dose * aloneCounts
+		j.slow += dt * part * aloneCounts
 	default:
 		j.slow = max(0, j.slow-dragClears*dt)
 	}
@@ -1040,7 +1137,7 @@
 	if j.sits {
 		if v != j.holds || (v != NoVote || j.phase == OnTrial) && j.now >= j.wordAt+wordEvery {
 			j.holds, j.wordAt = v, j.now
-			j.tell(v)
+			j.toll(j.wordFor(v))
 		}
 	} else if told && v != Back {
 		v = most
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -251,14 +251,15 @@
 	return false
 }
 
-// An outcome on its way to a peer takes lineBytes: appliance, build, product, outcome and whole ms.
+// An outcome on its way to a peer takes lineBytes: appliance, build, product, outcome, whole ms, and what it holds.
 // A word of the bench is a line too: build, stage, verdict.
-const lineBytes, turnedLine, wordLine = 9, 0xff, 0xfe
+const lineBytes, turnedLine, wordLine, wentLine = 10, 0xff, 0xfe, 0xfd
 
 func putLine(to []byte, n told) []byte {
 	to = binary.LittleEndian.AppendUint32(to, n.Appliance)
 	to = append(to, byte(n.by.Build), byte(n.product), byte(n.Outcome))
-	return binary.LittleEndian.AppendUint16(to, uint16(min(max(0, n.Took/ms), math.MaxUint16)))
+	to = binary.LittleEndian.AppendUint16(to, uint16(min(max(0, n.Took/ms), math.MaxUint16)))
+	return append(to, byte(min(max(0, n.held+1), math.MaxUint8))) // 0: it does not say
 }
 
 // lines reads a peer's sheet; what is not known here is skipped.
@@ -273,11 +274,15 @@
 			continue
 		}
 		a, p := j.fleet.byID[binary.LittleEndian.Uint32(sheet)], int(sheet[5])
+		if a != nil && sheet[6] == wentLine {
+			out = append(out, went{to: a, peer: true})
+			continue
+		}
 		if a == nil || byte(a.Build) != sheet[4] || p >= len(j.products) || sheet[6] > byte(Spoilt) {
 			continue
 		}
 		out = append(out, told{Ended: Ended{Appliance: a.ID, Outcome: Outcome(sheet[6]),
-			Took: Micros(binary.LittleEndian.Uint16(sheet[7:])) * ms}, by: a, product: p, sla: j.products[p].SLA, peer: true})
+			Took: Micros(binary.LittleEndian.Uint16(sheet[7:])) * ms}, by: a, product: p, sla: j.products[p].SLA, peer: true, held: float64(sheet[9]) - 1})
 	}
 	return out
 }
@@ -300,22 +305,34 @@
 	if len(j.sheet) == 0 {
 		j.sheetAt = j.now
 	}
-	if j.sheet = putLine(j.sheet, n); len(j.sheet) > sheetMost {
+	if j.sheet = putLine(j.sheet, n); len(j.sheet) > sheetMost || j.shares {
 		j.send()
 	}
 }
 
-// tell gives a word to all who are not on the bench.
-func (j *judge) tell(v Verdict) {
-	text := binary.LittleEndian.AppendUint32(nil, uint32(j.build))
-	text = append(text, byte(j.stage), byte(v), wordLine, 0, 0)
+// wordFor is a word as it goes to those who are not on the bench.
+func (j *judge) wordFor(v Verdict) []byte {
+	return append(binary.LittleEndian.AppendUint32(nil, uint32(j.build)), byte(j.stage), byte(v), wordLine, 0, 0, 0)
+}
+
+// toll gives a text to all agents but this one.
+func (j *judge) toll(text []byte) {
 	for i := range j.agents {
-		if !slices.Contains(j.bench, i) {
+		if i != j.me {
 			j.give(Tell{To: i, Text: text})
 		}
 	}
 }
 
+// digestBytes is no whole number of lines, so that a digest is known by its length.
+const digestBytes = 64
+
+// spot is an appliance's bit in a digest.
+func spot(id uint32) (at int, bit byte) {
+	h := mix(uint64(id)) % (8 * digestBytes)
+	return int(h / 8), 1 << (h % 8)
+}
+
 // most is what more than half of the bench hold of this stage, if their words are new enough.
 func (j *judge) most() (Verdict, bool) {
 	var says [Back + 1]int
--- a/brain/record.go
+++ b/brain/record.go
@@ -19,6 +19,10 @@
 		verdict            Verdict
 		at                 Micros
 	}
+	went struct { // a submission left, here or at a peer
+		to   *appliance
+		peer bool
+	}
 	turned struct{ peer bool } // a txn was turned away, here or at a peer
 	sent   struct {
 		work float64
@@ -27,10 +31,11 @@
 	told struct { // an outcome, with the record of the appliance that gave it
 		Ended
 		by      *appliance
-		product int  // -1: the txn is over and forgotten
-		trial   bool // its build is on trial
-		peer    bool // a peer had it
-		own     bool // an error is more likely the customer's own than the appliance's
+		product int     // -1: the txn is over and forgotten
+		trial   bool    // its build is on trial
+		peer    bool    // a peer had it
+		held    float64 // txns that the appliance says it holds; under 0 where it does not say
+		own     bool    // an error is more likely the customer's own than the appliance's
 		sla     Micros
 	}
 )
@@ -62,17 +67,19 @@
 type fleet struct {
 	inbox
 	*line
-	byID    map[uint32]*appliance
-	all     []*appliance
-	probes  bool
-	cold    ColdStart
-	least   float64 // the lowest limit of one core
-	carries float64 // the txns that a warm appliance does at one time: one core's where no report shows more
-	sized   bool    // the list tells sizes
-	size    float64 // txns a second that an appliance can do, by the reports; 0: not known
-	zones   int     // seen in the list so far
-	points  int     // an appliance, on the ring
-	salt    uint64
+	byID     map[uint32]*appliance
+	all      []*appliance
+	probes   bool
+	cold     ColdStart
+	least    float64 // the lowest limit of one core
+	carries  float64 // the txns that a warm appliance does at one time: one core's where no report shows more
+	digest   []byte  // which appliances the bench last called busy
+	digestAt Micros
+	sized    bool    // the list tells sizes
+	size     float64 // txns a second that an appliance can do, by the reports; 0: not known
+	zones    int     // seen in the list so far
+	points   int     // an appliance, on the ring
+	salt     uint64
 }
 
 // appliance is one record and the small actor that keeps it.
@@ -105,6 +112,7 @@
 	heard       Micros  // its last answer
 	full, aside Micros  // left alone until then
 	rate, busy  float64 // reported while warm, fading
+	held        float64 // txns of all agents that it holds, as far as is known
 	asking      bool    // a probe is out
 }
 
@@ -193,35 +201,39 @@
 	inbox
 	*line
 	wave
-	fleet                *fleet
-	polling              Polling
-	since                Micros // the stage's start, or this agent's if later
-	seen                 int
-	sum                  float64   // of failures, over all of the build's appliances
-	tallies              []Tallied // not weighed yet
-	earlier              []sampled // by product: what the launcher counted of earlier builds, fading
-	polled               int
-	poll                 float64    // what its counts say against the build
-	good, bad            [2]float64 // the earlier build's outcomes, fading
-	products             []Product
-	bench                []int // the agents who judge for all; none where each judges alone
-	me, agents           int
-	sits                 bool   // this agent is one of them
-	sheet                []byte // outcomes that they have not been told yet
-	sheetAt, wordAt      Micros
-	words                []word // the last of each of them
-	holds                Verdict
-	cast, want           Verdict
-	wantAt               Micros // since when it has wanted that
-	castAt, quiet        Micros
-	calm, calmSeen       []float64 // answer times before the release, by product
-	done, rate, calmRate float64   // txns completed: since the last beat, a µs now, a µs in the calm
-	share, calmShare     float64   // of txns answered in time, now and in the calm
-	times                []float64 // the last answers against those before the release
-	middle               float64   // their median, 0 while it says nothing
-	feltAt               Micros    // the last beat
-	dose                 float64   // the build's part of the answers
-	slow, calmFleet      float64   // µs that the fleet has dragged; appliances in the calm
+	fleet                                *fleet
+	polling                              Polling
+	since                                Micros // the stage's start, or this agent's if later
+	seen                                 int
+	sum                                  float64   // of failures, over all of the build's appliances
+	tallies                              []Tallied // not weighed yet
+	earlier                              []sampled // by product: what the launcher counted of earlier builds, fading
+	polled                               int
+	poll                                 float64    // what its counts say against the build
+	good, bad                            [2]float64 // the earlier build's outcomes, fading
+	products                             []Product
+	bench                                []int // the agents who judge for all; none where each judges alone
+	me, agents                           int
+	sits                                 bool   // this agent is one of them
+	sheet                                []byte // outcomes that they have not been told yet
+	sheetAt, wordAt                      Micros
+	digestAt                             Micros
+	shares                               bool   // what appliances hold
+	words                                []word // the last of each of them
+	holds                                Verdict
+	cast, want                           Verdict
+	wantAt                               Micros // since when it has wanted that
+	castAt, quiet                        Micros
+	calm, calmSeen                       []float64 // answer times before the release, by product
+	done, rate, calmRate                 float64   // txns completed: since the last beat, a µs now, a µs in the calm
+	share, calmShare                     float64   // of txns answered in time, now and in the calm
+	times                                []float64 // the last answers against those before the release
+	middle                               float64   // their median, 0 while it says nothing
+	calmMiddle, sampleMiddle, sampleDose float64
+	sent, in, calmIn                     float64 // submissions, likewise
+	feltAt                               Micros  // the last beat
+	dose                                 float64 // the build's part of the answers
+	slow, calmFleet                      float64 // µs that the fleet has dragged; appliances in the calm
 }
 
 type parting struct {
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -118,9 +118,12 @@
 	for _, c := range strings.Split(m["caps"], ",") {
 		caps = append(caps, s.num(c))
 	}
+	if n, is := strings.CutPrefix(m["me"], "BENCH"); is {
+		m["me"] = strconv.Itoa(s.seat(n))
+	}
 	span := func(k string, def float64) Micros { return Micros(s.val(m, k, def)) * ms }
 	s.r = New(Station{Me: int(s.val(m, "me", 0)), Agents: int(s.val(m, "agents", 1)), Seed: 7, WarmKeys: m["warmkeys"] != "",
-		Sized: m["unsized"] == "", Report: map[string]Report{"1": {Busy: 1, Rate: 2}}[m["reports"]]}, s.prods,
+		Sized: m["unsized"] == "", Report: map[string]Report{"1": {Busy: 1, Rate: 2}, "": {Held: int(s.val(m, "holds", 0))}}[m["reports"]]}, s.prods,
 		LaunchPlan{Caps: caps, Guarded: int(s.val(m, "guarded", 0)), OneWay: m["oneway"] != "", InPlace: m["inplace"] != ""},
 		Polling{Ballot: map[string]Ballot{"": BallotAny, "share": BallotShare, "timer": BallotTimer}[m["ballot"]],
 			Stands: span("stands", 4000), Tally: span("tally", 0), ToGo: int(s.val(m, "togo", 0)), ToGoBack: int(s.val(m, "togoback", 1)), CallsPerS: s.val(m, "calls", 0)},
@@ -129,6 +132,15 @@
 		Handover{MaxSubmissions: int(s.val(m, "max", 3))}, Licence{Ask: m["ask"] != "", Probe: m["probe"] != "", Tell: m["tell"] != ""}, Fares{})
 }
 
+// seat is the number of one of the bench; a number over the seats is another agent.
+func (s *stage) seat(w string) int {
+	from := int(s.num(w))
+	if bench := lot(int(s.val(s.words, "agents", 1)), seats, ringSalt); from < len(bench) {
+		return bench[from]
+	}
+	return from
+}
+
 func (s *stage) give(ev Event) {
 	for _, o := range s.r.Handle(s.now, ev) {
 		switch o := o.(type) {
@@ -219,16 +231,24 @@
 		}
 	case "probed":
 		s.give(Probed{Appliance: uint32(s.num(w[0])), Outcome: outcomeWords[w[1]]})
+	case "digest": // SEAT ID,ID..: those that one of the bench calls busy
+		text := make([]byte, digestBytes)
+		for _, id := range strings.Split(w[1], ",") {
+			at, bit := spot(uint32(s.num(id)))
+			text[at] |= bit
+		}
+		s.give(Heard{From: s.seat(w[0]), Text: text})
+	case "went": // ID TIMES, a peer's submissions
+		for n := s.num(w[1]); n > 0; n-- {
+			s.give(Heard{From: 1, Text: putLine(nil, told{Ended: Ended{Appliance: uint32(s.num(w[0])), Outcome: wentLine}, by: &appliance{}})})
+		}
 	case "tally": // BUILD PRODUCT MANY LOST took=
 		s.give(Tallied{Build: int(s.num(w[0])), Product: int(s.num(w[1])), Many: int(s.num(w[2])), Lost: int(s.num(w[3])),
 			Took: Micros(s.val(opts(w[4:]), "took", 0)) * ms, Age: second})
 	case "word": // SEAT BUILD STAGE VERDICT, what one of the bench holds; a number over the seats is another agent
-		from := int(s.num(w[0]))
-		if bench := lot(int(s.val(s.words, "agents", 1)), seats, ringSalt); from < len(bench) {
-			from = bench[from]
-		}
+		from := s.seat(w[0])
 		v := map[string]Verdict{"none": NoVote, "on": On, "back": Back}[w[3]]
-		s.give(Heard{From: from, Text: []byte{byte(s.num(w[1])), 0, 0, 0, byte(s.num(w[2])), byte(v), wordLine, 0, 0}})
+		s.give(Heard{From: from, Text: []byte{byte(s.num(w[1])), 0, 0, 0, byte(s.num(w[2])), byte(v), wordLine, 0, 0, 0}})
 	case "flag":
 		for n := s.num(w[1]); n > 0; n-- { // ID TIMES
 			s.give(Flagged{Appliance: uint32(s.num(w[0]))})
