--- a/brain/brain.go
+++ b/brain/brain.go
@@ -434,7 +434,11 @@
 		return false
 	}
 	// Of agents that take little, few have a txn in their turn, so that more may be in turn at once.
-	some := 1 - math.Exp(-float64(d.cold.After)*d.share/max(1, d.pulse))
+	part := d.share
+	if d.rank(a.Build, d.top) != trial {
+		part = 1 - part
+	}
+	some := 1 - math.Exp(-float64(d.cold.After)*part/max(1, d.pulse))
 	load := d.fleet.carries * min(coldLoad/max(some, 1e-9), max(coldLoad, coldShare*d.cold.Multiple))
 	_, place := math.Modf(float64(d.post.Me)*math.Phi + float64(mix(uint64(a.ID))>>40)/(1<<24))
 	due := func(age float64) float64 {
@@ -522,7 +526,7 @@
 		return
 	}
 	top, share := d.slice()
-	d.share = share
+	d.top, d.share = top, share
 	order := [...]int{earlier, trial, leaving}
 	if t.fraction < share {
 		order[0], order[1] = trial, earlier
@@ -720,6 +724,7 @@
 			j.since = max(j.now-n.Age, j.began)
 		}
 	case told:
+		j.ended++
 		if n.peer {
 			n.by.put(n) // for its load
 		} else if !n.own {
@@ -747,7 +752,6 @@
 			j.words[i] = n
 		}
 	case went:
-		j.sent++
 		if n.to.put(n); !n.peer && j.shares {
 			j.pass(told{Ended: Ended{Appliance: n.to.ID, Outcome: wentLine}, by: n.to})
 		}
@@ -1045,9 +1049,9 @@
 	age, dt := float64(j.now-j.began)+1, float64(j.now-j.feltAt)
 	rate := j.done / max(1, dt)
 	if !j.polls() {
-		j.in += (j.sent/max(1, dt) - j.in) * min(1, max(dt/float64(doneSpan), dt/age))
+		j.in += (j.ended/max(1, dt) - j.in) * min(1, max(dt/float64(doneSpan), dt/age))
 	}
-	j.done, j.sent, j.feltAt = 0, 0, j.now
+	j.done, j.ended, j.feltAt = 0, 0, j.now
 	j.rate += (rate - j.rate) * min(1, max(dt/float64(doneSpan), dt/age))
 	if j.calmNow() {
 		part := min(1, max(dt/float64(calmSpan), dt/age))
@@ -1059,7 +1063,7 @@
 	if len(j.times) == j.lasts() && full {
 		middle = median(j.times)
 	}
-	if j.shares && middle > 0 { // it hears enough to compare medians
+	if j.sits && middle > 0 { // it hears enough to compare medians
 		if j.calmMiddle == 0 {
 			j.calmMiddle = middle
 		}
@@ -1072,7 +1076,7 @@
 	if j.polls() {
 		middle, j.dose = j.sampleMiddle*one(full), j.sampleDose
 	}
-	if (j.shares || j.polls()) && j.dose >= stepFrom && j.in < stepIn*j.calmIn {
+	if (j.sits || j.polls()) && j.dose >= stepFrom && j.in < stepIn*j.calmIn {
 		part = stepPart
 	}
 	j.middle = middle
--- a/brain/record.go
+++ b/brain/record.go
@@ -193,6 +193,7 @@
 	blame    map[int]float64    // the moving share of errors, by customer
 	pulse    float64            // moving mean of the time between two txns
 	lastCame Micros
+	top      int
 	share    float64 // the slice
 }
 
@@ -230,7 +231,7 @@
 	times                                []float64 // the last answers against those before the release
 	middle                               float64   // their median, 0 while it says nothing
 	calmMiddle, sampleMiddle, sampleDose float64
-	sent, in, calmIn                     float64 // submissions, likewise
+	ended, in, calmIn                    float64 // of all that ended or was turned away, likewise
 	feltAt                               Micros  // the last beat
 	dose                                 float64 // the build's part of the answers
 	slow, calmFleet                      float64 // µs that the fleet has dragged; appliances in the calm
