--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,17 +1,14 @@
 // Package brain holds every decision of a switchfork agent: which build and which appliance a txn goes to,
-// when it is sent again, declined or voided, and how the agent votes on a release.
-//
-// Use: make one Router an agent with New, hand it each event in order with the clock in whole microseconds,
-// and carry out the orders that Handle returns before the next event. Events, orders and what is read at the
-// start are in port.go; the parts' records in record.go, the loop in loop.go, all of them without decisions.
-// A Router does no I/O and reads no clock; the same events give the same orders.
+// when it is sent again, declined or voided, and how the agent votes on a release. New makes a Router an
+// agent; Handle takes an event with the clock in whole microseconds and returns the orders to carry out before
+// the next. port.go has both, record.go the parts' records, loop.go the loop, without decisions. A Router does
+// no I/O and reads no clock; the same events give the same orders.
 package brain
 
 import (
 	"cmp"
 	"math"
 	"slices"
-	"sort"
 )
 
 // beatEvery is how often held txns are looked at: well inside the shortest SLA time and grace; restEvery how
@@ -35,24 +32,19 @@
 // weight is the told size, or else what the reports show that it can do, by what it can do of it while cold.
 func (a *appliance) weight() float64 {
 	size := a.Weight
-	if !a.fleet.sized && a.fleet.size > 0 {
-		if size = a.fleet.size; a.busy >= leastBusy {
-			size = min(max(a.rate/a.busy, size/sizeApart), size*sizeApart)
+	if mean := a.fleet.size; !a.fleet.sized && mean > 0 {
+		if size = mean; a.busy >= leastBusy {
+			size = min(max(a.rate/a.busy, mean/sizeApart), mean*sizeApart)
 		}
 	}
 	return max(size, 1e-9) * a.pace()
 }
 
-const (
-	// reportFade: some ten reports, as each counts few txns. leastBusy: three reports of one half busy.
-	reportFade, leastBusy = 0.1, 0.15
-	// sizeApart bounds what a report can make of an appliance.
-	sizeApart = 3
-	// fleetFade: a hundred reports of all appliances.
-	fleetFade = 0.01
-)
+// reportFade: some ten reports, as each counts few txns; fleetFade, a hundred of all. leastBusy: three reports
+// of one half busy. sizeApart bounds what reports can make of an appliance.
+const reportFade, fleetFade, leastBusy, sizeApart = 0.1, 0.01, 0.15, 3
 
-// size learns from a load report what the appliance can do: what it serves by how busy that makes it.
+// measure learns from a load report what the appliance can do: what it serves by how busy that makes it.
 func (a *appliance) measure(load []float32, at Report) {
 	if at.Busy == 0 || at.Rate == 0 || len(load) < max(at.Busy, at.Rate) || a.pace() < 1 {
 		return
@@ -66,7 +58,15 @@
 	}
 }
 
-func (a *appliance) ready() bool { return a.State == Ready }
+// reportTrust: reports of what it holds are late and noisy, and set right what lost messages left.
+const reportTrust = 0.2
+
+// correct keeps what the appliance holds of all agents' txns, by one that ended and by what it says, if so.
+func (a *appliance) correct(held float64) {
+	if a.held = max(0, a.held-1); held >= 0 {
+		a.held += (held - a.held) * reportTrust
+	}
+}
 
 func (a *appliance) healthy() bool {
 	return !a.asking && a.now >= max(a.aside, a.full) && float64(a.out)+1 <= max(1, a.limit) &&
@@ -74,10 +74,9 @@
 }
 
 const (
-	// asideFor and asideSpread: the users' practice; a second is the order of a restart's first signs.
-	asideFor, asideSpread = 1 * second, 500 * ms
-	// fullFor: a full appliance works off a txn or two in this time.
-	fullFor = 300 * ms
+	// asideFor and asideSpread: the users' practice; a second is the order of a restart's first signs. fullFor: a
+	// full appliance works off a txn or two in this time.
+	asideFor, asideSpread, fullFor = 1 * second, 500 * ms, 300 * ms
 	// quietPart of the SLA time with submissions out and no answer: no more until it answers. It guards against
 	// all that goes quiet (frozen, cut off, stuck) before time-outs tell, and may spare one with a long txn.
 	quietPart = 0.8
@@ -87,56 +86,20 @@
 	errFade, errMost, errSome = 0.2, 0.45, 0.3
 )
 
-func (a *appliance) take(n note) {
-	switch n := n.(type) {
-	case Row:
-		if n.Started != a.Started || n.Build != a.Build || n.State == Gone || a.limit == 0 {
-			a.health, a.sends = health{limit: firstLimit}, nil
-		}
-		a.Row = n
-	case sent:
-		if a.sla = n.sla; a.out == 0 {
-			a.waits = a.now
-		}
-		a.out++
-		a.sends = append(a.sends, load{a.now, n.work})
-	case went:
-		a.held++
-	case told:
-		if a.held = max(0, a.held-1); n.held >= 0 {
-			a.held += (n.held - a.held) * reportTrust // messages may be lost
-		}
-		if !n.peer {
-			a.out, a.waits = max(0, a.out-1), a.now
-			a.learn(n)
-		}
-	case say:
-		a.late = max(a.late+n.late, -crossing-1)
-		if n.step != 0 {
-			a.said, a.fails = max(a.said+n.step, n.least), max(0, a.fails+n.step)
-		}
-		if n.late != 0 {
-			a.lag = max(a.lag+n.late, n.least)
-		}
-		a.spoke = a.spoke || n.step != 0 || n.late != 0
-		if n.anew {
-			a.said, a.fails, a.late, a.lag, a.spoke = 0, 0, 0, 0, false
-		}
-	case beat:
-		for len(a.sends) > 0 && a.sends[0].at <= a.now-a.cold.After {
-			a.sends = a.sends[1:]
-		}
-		if a.probes && a.aside > 0 && a.now >= a.aside && !a.asking && a.ready() {
-			a.asking = true
-			a.give(Probe{Appliance: a.ID})
-		}
-	case Probed:
-		// An error is an answer too: checks may fail where txns are served.
-		if a.aside = 0; a.asking && n.Outcome != OK && n.Outcome != Errored {
-			a.setAside()
-		}
-		a.asking = false
+// ask has one set aside come back by a probe, where probes are allowed.
+func (a *appliance) ask() {
+	if a.probes && a.aside > 0 && a.now >= a.aside && !a.asking && a.ready() {
+		a.asking = true
+		a.give(Probe{Appliance: a.ID})
+	}
+}
+
+// answered: an error is an answer too: checks may fail where txns are served.
+func (a *appliance) answered(o Outcome) {
+	if a.aside = 0; a.asking && o != OK && o != Errored {
+		a.setAside()
 	}
+	a.asking = false
 }
 
 // setAside: it comes back for one txn at a time, as probes may be answered beside a queue that does not move.
@@ -145,10 +108,9 @@
 }
 
 const (
-	// firstLimit: two in work and two waiting at an appliance not known yet.
-	firstLimit = 4
-	// quickPart and latePart of the SLA time: below the one there is room, above the other too much is open.
-	quickPart, latePart = 0.25, 0.45
+	// firstLimit: two in work and two waiting at an appliance not known yet. quickPart and latePart of the SLA
+	// time: below the one there is room, above the other too much is open.
+	firstLimit, quickPart, latePart = 4, 0.25, 0.45
 	// limitCut, at most once in cutEvery: a few late answers from one jam are one sign, not several.
 	limitCut, cutEvery = 0.7, 250 * ms
 )
@@ -239,46 +201,27 @@
 // awayPerFare: at a fare of 0.1 another zone's arcs shrink to a fifth. usualFade: over some fifty txns.
 const awayPerFare, usualFade = 40, 0.02
 
-func (d *desk) take(n note) {
-	switch n := n.(type) {
-	case Taken:
-		h := cmp.Or(n.Key, n.ID)
-		t := &txn{Taken: n, at: cmp.Or(n.Came, d.now), spot: mix(n.ID ^ ringSalt)}
-		t.fraction = float64(mix(h^sliceSalt)>>11) / (1 << 53)
-		if n.Work > 0 {
-			d.usual += (float64(n.Work) - d.usual) * usualFade
-		}
-		t.who = mix(mix(h+uint64(n.Product)) + uint64(n.Customer))
-		if last, back := d.gone[t.who]; back {
-			t.at = last.first // to the client it is the same txn, and its time runs from the first try
-			delete(d.gone, t.who)
-			d.returns += (1 - d.returns) * returnFade
-		}
-		if d.post.WarmKeys && n.Key != 0 { // elsewhere a key's own place only strains it when the key is hot
-			t.spot = mix(mix(h^ringSalt) - 1 - d.arc(n.Key)) // never an appliance's own point
-		}
-		d.pulse += (float64(min(t.at-d.lastCame, second*10)) - d.pulse) * usualFade
-		d.lastCame = t.at
-		d.txns[n.ID] = t
-		d.enter(n.Product, takenMark)
-		d.route(t)
-	case Ended:
-		d.ended(n)
-	case Abandoned:
-		d.close(d.txns[n.ID])
-	case Staged:
-		d.hear(n) // a lower cap binds at once, and what was sent before still counts: never too much
-	case beat:
-		d.expect()
-		worth := func(i int) float64 { return d.products[d.held[i].Product].Revenue }
-		sort.SliceStable(d.held, func(i, j int) bool { return worth(i) > worth(j) })
-		for _, t := range d.held {
-			d.put(t) // one note each: appliances read their mail in between, or all would go to one
-		}
-		d.held = nil
-	case *txn:
-		d.route(n)
+// meet keeps what is usual: the told work, and the time between two txns. To a client who was turned away and
+// is back it is the same txn, and its time runs from the first try.
+func (d *desk) meet(t *txn) {
+	if t.Work > 0 {
+		d.usual += (float64(t.Work) - d.usual) * usualFade
 	}
+	if last, back := d.gone[t.who]; back {
+		t.at = last.first
+		delete(d.gone, t.who)
+		d.returns += (1 - d.returns) * returnFade
+	}
+	d.pulse += (float64(min(t.at-d.lastCame, 10*second)) - d.pulse) * usualFade
+	d.lastCame = t.at
+}
+
+// spot is a txn's place on the ring; a key has its own only where that gains, as a hot one strains it.
+func (d *desk) spot(t *txn) uint64 {
+	if d.post.WarmKeys && t.Key != 0 {
+		return mix(mix(t.Key^ringSalt) - 1 - d.arc(t.Key)) // never an appliance's own point
+	}
+	return mix(t.ID ^ ringSalt)
 }
 
 // keyPart of an appliance is the most that one key should fill: beside it, the arc carries its usual load.
@@ -300,29 +243,15 @@
 	if a == nil {
 		return
 	}
-	if t != nil && n.Outcome == OK && d.plan.OneWay && t.Key != 0 && a.Build > d.bound[t.Key] {
-		d.bound[t.Key] = a.Build
-	}
-	if t != nil && t.closed {
-		delete(d.txns, n.ID)
-		t = nil // the txn is over for all else
-	}
-	k := told{Ended: n, by: a, product: -1, held: -1}
-	if at := d.post.Report.Held; at > 0 && at <= len(n.Load) {
-		k.held = float64(n.Load[at-1])
-	}
-	_, _, k.trial = d.capped(a.Build)
-	if t != nil {
-		k.product, k.sla = t.Product, d.products[t.Product].SLA
-		k.own = d.owns(t, n.Outcome, k.trial)
-	}
+	k, t := d.entitle(n, a, t)
 	a.put(k)
 	a.measure(n.Load, d.post.Report)
 	d.fleet.carries = max(1, d.fleet.size*d.usual/float64(second))
 	d.judge.put(k)
 	z := d.zone(a.Zone)
 	if z.out--; k.sla > 0 && n.Outcome != Errored && n.Outcome < Moot {
-		z.feel(n.Outcome != OK || n.Took > k.sla, max(1, max(fewOpen, openPart*d.fleet.carries)*d.fleet.part(a.Zone, d.post.Agents)))
+		least := max(fewOpen, openPart*d.fleet.carries) * d.fleet.part(a.Zone, d.post.Agents)
+		z.feel(n.Outcome != OK || n.Took > k.sla, max(1, least))
 	}
 	if t == nil {
 		return
@@ -418,7 +347,8 @@
 
 // coldPart is an agent's part of what a cold appliance can take; where it is under one txn, they take turns.
 func (d *desk) coldPart(a *appliance) float64 {
-	return coldShare * d.cold.Multiple * a.pace() * float64(d.cold.After) * d.fleet.carries / float64(d.post.Agents)
+	all := coldShare * d.cold.Multiple * a.pace() * float64(d.cold.After) * d.fleet.carries
+	return all / float64(d.post.Agents)
 }
 
 func (d *desk) turns(a *appliance) bool { return a.pace() < 1 && d.coldPart(a) < d.usual }
@@ -427,8 +357,7 @@
 const coldLoad = 0.6
 
 // turn guards a cold appliance against all agents together, also in hot keys and moved traffic: one txn in an
-// agent's turn, which comes by the agents' numbers and lasts for the told span. Only agents of its zone take
-// part, as about that part of all. It leaves the appliance idle where those in turn have no txn.
+// agent's turn, which comes by the agents' numbers and lasts for the told span. It may leave it idle.
 func (d *desk) turn(a *appliance) bool {
 	if len(a.sends) > 0 && a.sends[len(a.sends)-1].at > d.now-d.cold.After {
 		return false
@@ -548,11 +477,11 @@
 // holdPart of its SLA time is the longest that a txn is held. For jamFor after one is given up it is a jam.
 const holdPart, jamFor = 0.5, 1 * second
 
-// blameFade: a customer's last twenty endings. ownErrors: a bad build or machine fails fewer of all of a customer's.
+// blameFade: a customer's last twenty endings. ownErrors: a bad build or machine fails fewer of them.
 const blameFade, ownErrors, blamesMost = 0.05, 0.2, 1000
 
-// owns guards healthy appliances against customers whose txns fail wherever they go: they were all set aside. An error
-// of a customer with many is the txn's own, and says nothing. It may spare a machine that fails all, while few are well.
+// owns guards healthy appliances against customers whose txns fail wherever they go: they were all set aside.
+// An error of a customer with many is its own. It may spare a machine that fails all, while few are well.
 func (d *desk) owns(t *txn, o Outcome, trial bool) bool {
 	if len(d.blame) > blamesMost {
 		clear(d.blame)
@@ -564,22 +493,11 @@
 	return own
 }
 
-func (d *desk) blamed(t *txn) bool {
-	least := 1.0
-	for _, other := range d.blame {
-		least = min(least, other)
-	}
-	return d.blame[t.Customer]-least > ownErrors
-}
+func (d *desk) blamed(t *txn) bool { return d.blame[t.Customer]-d.luckiest() > ownErrors }
 
-// errsMost: an error may be the build's or the machine's, three at different ones are the txn's own; of a customer with
-// many, one, as each further try leaves less of the cap to others.
-func (d *desk) errsMost(t *txn) int {
-	if d.blamed(t) {
-		return 1
-	}
-	return 3
-}
+// errsMost: an error may be the build's or the machine's, three at different ones are the txn's own; of a
+// customer with many, one, as each further try leaves less of the cap to others.
+func (d *desk) errsMost(t *txn) int { return 3 - 2*int(one(d.blamed(t))) }
 
 // hopeless: no appliance may take the txn now and none will in time.
 func (d *desk) hopeless(t *txn) bool {
@@ -641,7 +559,7 @@
 
 // busy tells whether the bench's last digest calls it so.
 func (f *fleet) busy(a *appliance) bool {
-	at, bit := spot(a.ID)
+	at, bit := spotOf(a.ID)
 	return len(f.digest) == digestBytes && f.now-f.digestAt < digestLasts && f.digest[at]&bit != 0
 }
 
@@ -671,10 +589,8 @@
 	youngServer         = 2 * second // "started seconds ago": past the first cold seconds
 	// renewAt: votes are renewed with a third of their life left, room for one lost answer.
 	renewAt = 0.66
-	// blindWait leaves the others time for a drag to count.
-	blindWait = 10 * second
-	// benchWait: the others go on without the bench when it has been silent for twice the clock.
-	benchWait = 5 * second
+	// blindWait leaves the others time for a drag to count. benchWait: without the bench the others go on later.
+	blindWait, benchWait = 10 * second, 5 * second
 	// fullPause and voteRetry: after 'full' the launcher gets a second, after other failures a short wait.
 	fullPause, voteRetry = 1 * second, 250 * ms
 )
@@ -683,100 +599,30 @@
 // sheetEvery and sheetMost: a sheet of outcomes goes out soon, or when it is full.
 const seats, sheetEvery, sheetMost = 5, 500 * ms, 256 - lineBytes
 
-// seat: where agents are more than seats and may tell each other, a few judge on the outcomes of all. Each
-// alone sees too little, and of hundreds the one with the worst luck would decide.
-func (j *judge) seat(st Station) {
-	if st.Agents <= seats {
-		return
+// refused puts the next vote off, not all agents in step.
+func (j *judge) refused(how Outcome) {
+	j.cast, j.quiet = NoVote, j.now+voteRetry+j.upTo(j.queue()+1)
+	if how == TurnedOff {
+		j.quiet += fullPause - voteRetry + j.upTo(fullPause)
 	}
-	j.bench = lot(st.Agents, seats, ringSalt)
-	j.shares = st.Report.Held > 0
-	j.sits, j.words = slices.Contains(j.bench, st.Me), make([]word, seats)
 }
 
-func (j *judge) take(n note) {
-	switch n := n.(type) {
-	case Heard:
-		if len(n.Text) == digestBytes && slices.Contains(j.bench, n.From) {
-			j.fleet.digest, j.fleet.digestAt = n.Text, j.now
-			return
-		}
-		for _, l := range j.lines(n.From, n.Text) {
-			j.put(l)
-		}
-	case Staged:
-		if n.Answer && n.Outcome != OK {
-			j.cast, j.quiet = NoVote, j.now+voteRetry+j.upTo(j.queue()+1) // not all agents in step
-			if n.Outcome == TurnedOff {
-				j.quiet += fullPause - voteRetry + j.upTo(fullPause)
-			}
-		}
-		same := n.Build == j.build && (n.Stage == j.stage || j.polls())
-		if j.hear(n) {
-			j.cast = NoVote
-			for _, a := range j.fleet.all {
-				a.put(say{anew: !same}) // a release takes its last stage's evidence along
-			}
-			j.seen, j.sum = j.seen*int(one(same)), j.sum*one(same)
-			if n.Build != j.polled {
-				j.poll, j.polled = 0, n.Build
-			}
-			j.since = max(j.now-n.Age, j.began)
-		}
-	case told:
-		j.ended++
-		if n.peer {
-			n.by.put(n) // for its load
-		} else if !n.own {
-			j.pass(n)
-		}
-		// A time-out says that something is overloaded, not what: good builds were sent back for it.
-		if !n.own && (n.Outcome == OK || n.Outcome == Errored) {
-			j.weigh(n.by, failures, n.Outcome != OK)
-		}
-		if n.product >= 0 && (n.Outcome == OK || n.Outcome == TimedOut) {
-			j.time(n)
-			good := n.Outcome == OK && n.Took <= n.sla
-			j.inTime(good)
-			// A slow build that still answers: later than the earlier one. Only while that carries most, and warm.
-			if j.judges() && j.dose < mostEarlier && n.by.pace() >= 1 {
-				j.weigh(n.by, lateness, !good)
-			}
-			if n.by.Build == j.build {
-				j.dose += doseFade
-			}
-			j.dose *= 1 - doseFade
-		}
-	case word:
-		if i := slices.Index(j.bench, n.from); i >= 0 {
-			j.words[i] = n
-		}
-	case went:
-		if n.to.put(n); !n.peer && j.shares {
-			j.pass(told{Ended: Ended{Appliance: n.to.ID, Outcome: wentLine}, by: n.to})
-		}
-	case turned:
-		if !n.peer {
-			j.pass(told{Ended: Ended{Outcome: turnedLine}, by: &appliance{}})
-		}
-		j.inTime(false)
-	case Tallied:
-		if j.polls() && n.Many > 0 && n.Product < len(j.products) && n.Build <= j.build && !j.spoiled[n.Build] {
-			j.tallies = append(j.tallies, n)
-		}
-	case Flagged:
-		if a := j.fleet.byID[n.Appliance]; a != nil {
-			j.weigh(a, failures, true)
-		}
-	case beat:
-		if len(j.sheet) > 0 && j.now >= j.sheetAt+sheetEvery {
-			j.send()
-		}
-		j.summarise()
-		j.survey()
-		j.feel()
-		j.vote()
+// outcome: a time-out says that something is overloaded, not what: good builds were sent back for it.
+func (j *judge) outcome(n told) {
+	if !n.own && (n.Outcome == OK || n.Outcome == Errored) {
+		j.weigh(n.by, failures, n.Outcome != OK)
+	}
+	if n.product < 0 || n.Outcome != OK && n.Outcome != TimedOut {
+		return
 	}
+	j.time(n)
+	good := n.Outcome == OK && n.Took <= n.sla
+	j.inTime(good)
+	// A slow build that still answers: later than the earlier one. Only while that carries most, and warm.
+	if j.judges() && j.dose < mostEarlier && n.by.pace() >= 1 {
+		j.weigh(n.by, lateness, !good)
+	}
+	j.dose = (j.dose + one(n.by.Build == j.build)*doseFade) * (1 - doseFade)
 }
 
 // weigh adds an outcome to what its appliance says, on failures or on lateness.
@@ -820,17 +666,11 @@
 	j.sum = max(j.sum+min(a.fails+step, most)-min(a.fails, most), -crossing-1)
 }
 
-const (
-	// digestEvery, by each of the bench in turn; of the last digests one or two may be lost.
-	digestEvery, digestLasts = 1000 * ms, 1000 * ms
-	// reportTrust: reports are late and noisy, and set right what lost messages left.
-	reportTrust = 0.2
-	// busyMore than loadSlack of the mean is busy: with few txns each, one more is chance.
-	busyMore = 0
-)
+// digestEvery, by each of the bench in turn, so that four of the last five may be lost.
+const digestEvery, digestLasts = 1 * second, 1 * second
 
-// summarise tells all agents which appliances hold more than their part. Where each agent meets an appliance once in a
-// minute, no limit of its own can tell; the bench hears what all answers say. It may be a second old.
+// summarise tells all agents which appliances hold more than their part. Where each agent meets an appliance
+// once in a minute, no limit of its own can tell; the bench hears of all. It may be a second old.
 func (j *judge) summarise() {
 	if i := slices.Index(j.bench, j.me); i < 0 || !j.shares || j.now < j.digestAt+digestEvery {
 		return
@@ -838,24 +678,16 @@
 		j.digestAt = j.now - digestEvery*Micros(i)/seats // in turn
 		return
 	}
-	j.digestAt = j.now
-	held, weight := 0.0, 0.0
-	for _, a := range j.fleet.all {
-		if a.ready() {
-			held, weight = held+a.held, weight+a.weight()
-		}
-	}
 	text := make([]byte, digestBytes)
+	held, weight := j.fleet.load()
 	for _, a := range j.fleet.all {
-		if a.ready() && a.held > loadSlack*held*a.weight()/weight+busyMore {
-			at, bit := spot(a.ID)
+		if a.ready() && a.held > loadSlack*held*a.weight()/weight {
+			at, bit := spotOf(a.ID)
 			text[at] |= bit
 		}
 	}
-	if weight > 0 {
-		j.toll(text)
-		j.fleet.digest, j.fleet.digestAt = text, j.now
-	}
+	j.toll(text)
+	j.digestAt, j.fleet.digest, j.fleet.digestAt = j.now, text, j.now
 }
 
 const (
@@ -866,27 +698,16 @@
 )
 
 // survey weighs what the launcher counted in a period over all agents, the same for all: the design's ratio,
-// product by product, and the one of answer times, beside an earlier build that was counted in the same period.
+// product by product, and the one of answer times, beside an earlier build counted in the same period.
 func (j *judge) survey() {
 	if len(j.tallies) == 0 {
 		return
 	}
-	slices.SortStableFunc(j.tallies, func(a, b Tallied) int { return cmp.Compare(a.Build, b.Build) })
-	for p := range j.earlier {
-		e := &j.earlier[p]
-		*e = sampled{e.many * periodFade, e.lost * periodFade, e.took * periodFade}
-	}
-	fails, late, beside, at, took, calm, many := 0.0, 0.0, 0, 0.0, 0.0, 0.0, 0.0
+	beside := j.period()
+	fails, late := 0.0, 0.0
 	for _, n := range j.tallies {
 		e, good, lost := &j.earlier[n.Product], float64(n.Many-n.Lost), float64(n.Lost)
-		many += float64(n.Many)
-		at += float64(n.Many) * one(n.Build == j.build)
-		if j.calmSeen[n.Product] >= leastSeen {
-			took, calm = took+good*float64(n.Took), calm+good*j.calm[n.Product]
-		}
-		if n.Build < j.build || j.settled() {
-			*e = sampled{e.many + float64(n.Many), e.lost + lost, e.took + good*float64(n.Took)}
-			beside += n.Many
+		if j.besides(n) {
 			continue
 		}
 		mean := e.took / max(1, e.many-e.lost) / j.fleet.warmth(j.build)
@@ -898,26 +719,11 @@
 			late += good * (float64(n.Took)/usual*(1-1/slowTimes) - math.Log(slowTimes))
 		}
 	}
-	j.sampleMiddle, j.sampleDose, j.in = took/max(1, calm), at/many, many
 	if j.tallies = j.tallies[:0]; beside >= leastSeen && !j.settled() {
 		j.poll = max(j.poll+min(fails+max(0, late), periodSays), -crossing-1)
 	}
 }
 
-// warmth is the mean of what a build's ready appliances surely can, by now.
-func (f *fleet) warmth(build int) float64 {
-	sum, n := 0.0, 0.0
-	for _, a := range f.all {
-		if a.ready() && a.Build == build {
-			sum, n = sum+a.pace(), n+1
-		}
-	}
-	if n == 0 {
-		return 1
-	}
-	return sum / n
-}
-
 // parts is into how many the saved up crossing is parted: a build's appliances, so that all must have spoken
 // to go on early; of a large build those heard, as one of many agents meets few of them.
 func (j *judge) parts(a *appliance) float64 {
@@ -932,8 +738,7 @@
 // failing; in a smaller build the sum is too slow: the few errors met have all good outcomes against them.
 const largeBuild = 24
 
-// oneSays bounds what one of several appliances adds; of a large build a quarter must speak.
-const oneSays, speakers = 2, 4
+const oneSays, speakers = 2, 4 // bounds what one of several adds; of a large build a quarter must speak
 
 // ratio adds up what the build's appliances say, on failures and on lateness apart, each bounded: a bad build
 // fails, and is late, on most alike. Neither is saved up past the crossing: a build may turn bad late.
@@ -941,12 +746,10 @@
 	var saids, lates, lags, good []float64
 	fails := 0
 	around := j.fleet.failing(j.build, errMost) // then machines that fail here are no sign of the build
-	for _, a := range j.fleet.all {             // those never heard of say nothing
-		if a.ready() && a.Build == j.build && a.spoke && !(around && a.errs > errSome) {
-			saids, lates, lags = append(saids, a.said), append(lates, a.late), append(lags, a.lag)
-			good = append(good, a.said+min(0, a.lag))
-			fails += int(one(a.fails >= holdAbove))
-		}
+	for _, a := range j.fleet.speaking(j.build, around) {
+		saids, lates, lags = append(saids, a.said), append(lates, a.late), append(lags, a.lag)
+		good = append(good, a.said+min(0, a.lag))
+		fails += int(one(a.fails >= holdAbove))
 	}
 	failing, late := bounded(saids), bounded(lags)
 	if len(saids) > largeBuild {
@@ -976,12 +779,7 @@
 // build that decays fails there first, while in the one sum all good outcomes of the younger are against it.
 // It may harm where the oldest are machines that fail by themselves, which are of any age.
 func (f *fleet) elders(build int, around bool) (most float64) {
-	var old []*appliance
-	for _, a := range f.all {
-		if a.ready() && a.Build == build && a.spoke && a.Started > 0 && !(around && a.errs > errSome) {
-			old = append(old, a)
-		}
-	}
+	old := slices.DeleteFunc(f.speaking(build, around), func(a *appliance) bool { return a.Started <= 0 })
 	slices.SortStableFunc(old, func(a, b *appliance) int { return cmp.Compare(a.Started, b.Started) })
 	failing, sum := 0.0, 0.0
 	for i, a := range old {
@@ -1027,8 +825,8 @@
 	dragHolds, dragPauses, dragLasts = 0.5e6, 0.2e6, 9e6
 	// doneSpan and calmSpan: completions are averaged over these times.
 	doneSpan, calmSpan = 3 * second, 10 * second
-	// Where the outcomes of all are known, a drag with stepFrom of the txns at the build and less than stepIn of the
-	// calm's submissions comes in step with the build: it counts stepPart, so that three to five seconds send it back.
+	// Where the outcomes of all are known, a drag with stepFrom of the txns at the build and less than stepIn of
+	// the calm's submissions comes in step with it: it counts stepPart, so that three to five seconds are enough.
 	stepFrom, stepIn, stepPart = 0.1, 1.2, 3
 	// settleAfter its release, a build counts as part of the calm.
 	settleAfter = 25 * second
@@ -1045,37 +843,14 @@
 // with the fleet whole, and goes on so; counted by the build's part of the txns, and in full where less is
 // completed too. It may send a good build back in a jam of the whole fleet that lasts longer than dragLasts.
 func (j *judge) feel() {
-	whole := j.fleet.whole()
-	age, dt := float64(j.now-j.began)+1, float64(j.now-j.feltAt)
-	rate := j.done / max(1, dt)
-	if !j.polls() {
-		j.in += (j.ended/max(1, dt) - j.in) * min(1, max(dt/float64(doneSpan), dt/age))
-	}
-	j.done, j.ended, j.feltAt = 0, 0, j.now
-	j.rate += (rate - j.rate) * min(1, max(dt/float64(doneSpan), dt/age))
-	if j.calmNow() {
-		part := min(1, max(dt/float64(calmSpan), dt/age))
-		j.calmRate += (rate - j.calmRate) * part
-		j.calmIn += (j.in - j.calmIn) * part
-		j.calmFleet += (whole - j.calmFleet) * part
-	}
-	middle, full := 0.0, whole >= wholeFleet*j.calmFleet
-	if len(j.times) == j.lasts() && full {
-		middle = median(j.times)
-	}
-	if j.sits && middle > 0 { // it hears enough to compare medians
-		if j.calmMiddle == 0 {
-			j.calmMiddle = middle
-		}
-		if j.calmNow() {
-			j.calmMiddle += (middle - j.calmMiddle) * min(1, max(dt/float64(calmSpan), dt/age))
-		}
+	dt, whole, middle := j.flow()
+	full, part := whole >= wholeFleet*j.calmFleet, j.dose
+	if j.sits { // it hears enough to compare medians
 		middle /= max(j.calmMiddle, 1e-9)
+	} else if j.polls() {
+		middle, j.dose = j.sampleMiddle, j.sampleDose
 	}
-	part := j.dose
-	if j.polls() {
-		middle, j.dose = j.sampleMiddle*one(full), j.sampleDose
-	}
+	middle *= one(full)
 	if (j.sits || j.polls()) && j.dose >= stepFrom && j.in < stepIn*j.calmIn {
 		part = stepPart
 	}
@@ -1094,10 +869,10 @@
 
 // bar is the crossing to vote back at: higher for one of many who decide alone, lower where many must agree.
 func (j *judge) bar() float64 {
-	if j.sits {
+	switch {
+	case j.sits:
 		return crossing // what they hold decides for all
-	}
-	if !j.judges() || j.polls() {
+	case j.bench != nil, j.polls():
 		return crossing + math.Log(float64(j.agents))
 	}
 	return max(holdAbove, crossing-math.Log(float64(max(1, j.polling.ToGoBack))))
@@ -1139,10 +914,7 @@
 	v := j.opinion(ratio)
 	most, told := j.most()
 	if j.sits {
-		if v != j.holds || (v != NoVote || j.phase == OnTrial) && j.now >= j.wordAt+wordEvery {
-			j.holds, j.wordAt = v, j.now
-			j.toll(j.wordFor(v))
-		}
+		j.speak(v)
 	} else if told && v != Back {
 		v = most
 	}
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -327,8 +327,8 @@
 // digestBytes is no whole number of lines, so that a digest is known by its length.
 const digestBytes = 64
 
-// spot is an appliance's bit in a digest.
-func spot(id uint32) (at int, bit byte) {
+// spotOf is an appliance's bit in a digest.
+func spotOf(id uint32) (at int, bit byte) {
 	h := mix(uint64(id)) % (8 * digestBytes)
 	return int(h / 8), 1 << (h % 8)
 }
@@ -506,3 +506,287 @@
 	}
 	return n
 }
+
+// take keeps an appliance's counts and hands its notes to what decides on them.
+func (a *appliance) take(n note) {
+	switch n := n.(type) {
+	case Row:
+		if n.Started != a.Started || n.Build != a.Build || n.State == Gone || a.limit == 0 {
+			a.health, a.sends = health{limit: firstLimit}, nil
+		}
+		a.Row = n
+	case sent:
+		if a.sla = n.sla; a.out == 0 {
+			a.waits = a.now
+		}
+		a.out++
+		a.sends = append(a.sends, load{a.now, n.work})
+	case went:
+		a.held++
+	case told:
+		if a.correct(n.held); !n.peer {
+			a.out, a.waits = max(0, a.out-1), a.now
+			a.learn(n)
+		}
+	case say:
+		a.late = max(a.late+n.late, -crossing-1)
+		if n.step != 0 {
+			a.said, a.fails = max(a.said+n.step, n.least), max(0, a.fails+n.step)
+		}
+		if n.late != 0 {
+			a.lag = max(a.lag+n.late, n.least)
+		}
+		a.spoke = a.spoke || n.step != 0 || n.late != 0
+		if n.anew {
+			a.said, a.fails, a.late, a.lag, a.spoke = 0, 0, 0, 0, false
+		}
+	case beat:
+		for len(a.sends) > 0 && a.sends[0].at <= a.now-a.cold.After {
+			a.sends = a.sends[1:]
+		}
+		a.ask()
+	case Probed:
+		a.answered(n.Outcome)
+	}
+}
+
+func (a *appliance) ready() bool { return a.State == Ready }
+
+// take keeps the desk's books and hands its notes to what decides on them.
+func (d *desk) take(n note) {
+	switch n := n.(type) {
+	case Taken:
+		t := &txn{Taken: n, at: cmp.Or(n.Came, d.now)}
+		h := cmp.Or(n.Key, n.ID)
+		t.fraction = float64(mix(h^sliceSalt)>>11) / (1 << 53)
+		t.who = mix(mix(h+uint64(n.Product)) + uint64(n.Customer))
+		d.meet(t)
+		t.spot = d.spot(t)
+		d.txns[n.ID] = t
+		d.enter(n.Product, takenMark)
+		d.route(t)
+	case Ended:
+		d.ended(n)
+	case Abandoned:
+		d.close(d.txns[n.ID])
+	case Staged:
+		d.hear(n) // a lower cap binds at once, and what was sent before still counts: never too much
+	case beat:
+		d.expect()
+		worth := func(i int) float64 { return d.products[d.held[i].Product].Revenue }
+		sort.SliceStable(d.held, func(i, j int) bool { return worth(i) > worth(j) })
+		for _, t := range d.held {
+			d.put(t) // one note each: appliances read their mail in between, or all would go to one
+		}
+		d.held = nil
+	case *txn:
+		d.route(n)
+	}
+}
+
+// entitle makes an ending the note that appliance and judge get; the txn is none where it was over before.
+func (d *desk) entitle(n Ended, a *appliance, t *txn) (told, *txn) {
+	if t != nil && n.Outcome == OK && d.plan.OneWay && t.Key != 0 && a.Build > d.bound[t.Key] {
+		d.bound[t.Key] = a.Build
+	}
+	if t != nil && t.closed {
+		delete(d.txns, n.ID)
+		t = nil
+	}
+	k := told{Ended: n, by: a, product: -1, held: -1}
+	if at := d.post.Report.Held; at > 0 && at <= len(n.Load) {
+		k.held = float64(n.Load[at-1])
+	}
+	_, _, k.trial = d.capped(a.Build)
+	if t != nil {
+		k.product, k.sla = t.Product, d.products[t.Product].SLA
+		k.own = d.owns(t, n.Outcome, k.trial)
+	}
+	return k, t
+}
+
+// take hands the judge's notes to what decides on them.
+func (j *judge) take(n note) {
+	switch n := n.(type) {
+	case Heard:
+		if len(n.Text) == digestBytes && slices.Contains(j.bench, n.From) {
+			j.fleet.digest, j.fleet.digestAt = n.Text, j.now
+			return
+		}
+		for _, l := range j.lines(n.From, n.Text) {
+			j.put(l)
+		}
+	case Staged:
+		if n.Answer && n.Outcome != OK {
+			j.refused(n.Outcome)
+		}
+		same := n.Build == j.build && (n.Stage == j.stage || j.polls())
+		if j.hear(n) {
+			j.cast = NoVote
+			for _, a := range j.fleet.all {
+				a.put(say{anew: !same}) // a release takes its last stage's evidence along
+			}
+			j.seen, j.sum = j.seen*int(one(same)), j.sum*one(same)
+			if n.Build != j.polled {
+				j.poll, j.polled = 0, n.Build
+			}
+			j.since = max(j.now-n.Age, j.began)
+		}
+	case told:
+		j.ended++
+		if n.peer {
+			n.by.put(n) // for what it holds
+		} else if !n.own {
+			j.pass(n)
+		}
+		j.outcome(n)
+	case word:
+		if i := slices.Index(j.bench, n.from); i >= 0 {
+			j.words[i] = n
+		}
+	case went:
+		if n.to.put(n); !n.peer && j.shares {
+			j.pass(told{Ended: Ended{Appliance: n.to.ID, Outcome: wentLine}, by: n.to})
+		}
+	case turned:
+		if !n.peer {
+			j.pass(told{Ended: Ended{Outcome: turnedLine}, by: &appliance{}})
+		}
+		j.inTime(false)
+	case Tallied:
+		if j.polls() && n.Many > 0 && n.Product < len(j.products) && n.Build <= j.build && !j.spoiled[n.Build] {
+			j.tallies = append(j.tallies, n)
+		}
+	case Flagged:
+		if a := j.fleet.byID[n.Appliance]; a != nil {
+			j.weigh(a, failures, true)
+		}
+	case beat:
+		if len(j.sheet) > 0 && j.now >= j.sheetAt+sheetEvery {
+			j.send()
+		}
+		j.summarise()
+		j.survey()
+		j.feel()
+		j.vote()
+	}
+}
+
+// seat: where agents are more than seats and may tell each other, a few judge on the outcomes of all. Each
+// alone sees too little, and of hundreds the one with the worst luck would decide.
+func (j *judge) seat(st Station) {
+	if st.Agents <= seats {
+		return
+	}
+	j.bench = lot(st.Agents, seats, ringSalt)
+	j.shares = st.Report.Held > 0
+	j.sits, j.words = slices.Contains(j.bench, st.Me), make([]word, seats)
+}
+
+// load is what all ready appliances hold, and their weight.
+func (f *fleet) load() (held, weight float64) {
+	for _, a := range f.all {
+		if a.ready() {
+			held, weight = held+a.held, weight+a.weight()
+		}
+	}
+	return held, weight
+}
+
+// warmth is the mean of what a build's ready appliances surely can, by now.
+func (f *fleet) warmth(build int) float64 {
+	sum, n := 0.0, 0.0
+	for _, a := range f.all {
+		if a.ready() && a.Build == build {
+			sum, n = sum+a.pace(), n+1
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / n
+}
+
+// luckiest is the least share of errors of any customer.
+func (d *desk) luckiest() float64 {
+	least := 1.0
+	for _, other := range d.blame {
+		least = min(least, other)
+	}
+	return least
+}
+
+// speak tells the others what this one of the bench holds.
+func (j *judge) speak(v Verdict) {
+	if v != j.holds || (v != NoVote || j.phase == OnTrial) && j.now >= j.wordAt+wordEvery {
+		j.holds, j.wordAt = v, j.now
+		j.toll(j.wordFor(v))
+	}
+}
+
+// speaking are a build's ready appliances of which something was heard; where machines fail all around, without those
+// that fail.
+func (f *fleet) speaking(build int, around bool) (out []*appliance) {
+	for _, a := range f.all {
+		if a.ready() && a.Build == build && a.spoke && !(around && a.errs > errSome) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// besides tells whether a count is of what the build on trial is held against.
+func (j *judge) besides(n Tallied) bool { return n.Build < j.build || j.settled() }
+
+// period keeps what the launcher counted in one: of the earlier builds, fading, and how many those are now; of all,
+// against the calm.
+func (j *judge) period() (beside float64) {
+	for p := range j.earlier {
+		e := &j.earlier[p]
+		*e = sampled{e.many * periodFade, e.lost * periodFade, e.took * periodFade}
+	}
+	at, took, calm, many := 0.0, 0.0, 0.0, 0.0
+	for _, n := range j.tallies {
+		e, good := &j.earlier[n.Product], float64(n.Many-n.Lost)
+		many += float64(n.Many)
+		at += float64(n.Many) * one(n.Build == j.build)
+		if j.calmSeen[n.Product] >= leastSeen {
+			took, calm = took+good*float64(n.Took), calm+good*j.calm[n.Product]
+		}
+		if j.besides(n) {
+			*e = sampled{e.many + float64(n.Many), e.lost + float64(n.Lost), e.took + good*float64(n.Took)}
+			beside += float64(n.Many)
+		}
+	}
+	j.sampleMiddle, j.sampleDose, j.in = took/max(1, calm), at/many, many
+	return beside
+}
+
+// flow keeps what is done and begun in a time, now and in the calm, and tells the time since the last beat, the warm
+// appliances, and the median of the last answers.
+func (j *judge) flow() (dt, whole, middle float64) {
+	whole = j.fleet.whole()
+	age := float64(j.now-j.began) + 1
+	dt = float64(j.now - j.feltAt)
+	rate, part := j.done/max(1, dt), min(1, max(dt/float64(doneSpan), dt/age))
+	if !j.polls() {
+		j.in += (j.ended/max(1, dt) - j.in) * part
+	}
+	j.done, j.ended, j.feltAt = 0, 0, j.now
+	j.rate += (rate - j.rate) * part
+	if len(j.times) == j.lasts() {
+		if middle = median(j.times); j.calmMiddle == 0 {
+			j.calmMiddle = middle
+		}
+	}
+	if j.calmNow() {
+		part = min(1, max(dt/float64(calmSpan), dt/age))
+		j.calmRate += (rate - j.calmRate) * part
+		j.calmIn += (j.in - j.calmIn) * part
+		j.calmFleet += (whole - j.calmFleet) * part
+		if middle > 0 {
+			j.calmMiddle += (middle - j.calmMiddle) * part
+		}
+	}
+	return dt, whole, middle
+}
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -234,7 +234,7 @@
 	case "digest": // SEAT ID,ID..: those that one of the bench calls busy
 		text := make([]byte, digestBytes)
 		for _, id := range strings.Split(w[1], ",") {
-			at, bit := spot(uint32(s.num(id)))
+			at, bit := spotOf(uint32(s.num(id)))
 			text[at] |= bit
 		}
 		s.give(Heard{From: s.seat(w[0]), Text: text})
