--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,8 @@
 // Package brain holds every decision of a switchfork agent: which build and which appliance a txn goes to,
 // when it is sent again, declined or voided, and how the agent votes on a release. New makes a Router an
-// agent; Handle takes an event with the clock in whole microseconds and returns the orders to carry out before
-// the next. port.go has both, record.go the parts' records, loop.go the loop, without decisions. A Router does
-// no I/O and reads no clock; the same events give the same orders.
+// agent; Handle takes an event with the clock in whole microseconds and returns the orders to carry out
+// before the next. port.go has both, record.go the parts' records, loop.go the loop, without decisions. A
+// Router does no I/O and reads no clock; the same events give the same orders.
 package brain
 
 import (
@@ -903,7 +903,7 @@
 }
 
 // polls tells whether the launcher's counts stand in for what agents who may not talk can't tell each other.
-func (j *judge) polls() bool { return j.polling.Tally > 0 && j.bench == nil }
+func (j *judge) polls() bool { return j.counted && j.bench == nil }
 
 // wordEvery, wordLasts: two words in a row may be lost.
 const wordEvery, wordLasts = 1 * second, 3 * second
--- a/brain/loop.go
+++ b/brain/loop.go
@@ -654,6 +654,7 @@
 		}
 		j.inTime(false)
 	case Tallied:
+		j.counted = j.polling.Tally > 0
 		if j.polls() && n.Many > 0 && n.Product < len(j.products) && n.Build <= j.build && !j.spoiled[n.Build] {
 			j.tallies = append(j.tallies, n)
 		}
--- a/brain/record.go
+++ b/brain/record.go
@@ -208,6 +208,7 @@
 	seen                                 int
 	sum                                  float64   // of failures, over all of the build's appliances
 	tallies                              []Tallied // not weighed yet
+	counted                              bool      // a count has come
 	earlier                              []sampled // by product: what the launcher counted of earlier builds, fading
 	polled                               int
 	poll                                 float64    // what its counts say against the build
--- a/charter/terms.go
+++ b/charter/terms.go
@@ -177,22 +177,71 @@
 		"idempotency_key": brain.Referenced, "non_idempotent": brain.OnceOnly})
 }
 
+// sized tells whether the list tells the sizes of appliances; where the key is absent it does, as it always did.
+func (t *Terms) sized() bool {
+	return !t.has("Weights") || pick(t, "Weights", map[string]bool{"off": false, "none": false, "nominal": true, "rough": true, "live": true})
+}
+
+// reported tells whether load reports come with answers; a key that is absent means none.
+func (t *Terms) reported() bool {
+	return t.has("Feedback.How") && pick(t, "Feedback.How",
+		map[string]bool{"inline": true, "answers": true, "on_probe": false, "probe": false, "off": false, "none": false})
+}
+
+// report tells where the figures stand that the module reads, by the simulator's names and the users'; others are passed over.
+func (t *Terms) report() (r brain.Report) {
+	if !t.reported() {
+		return r
+	}
+	for i, field := range t.words("Feedback.Fields") {
+		switch field {
+		case "utilization", "util":
+			r.Busy = i + 1
+		case "throughput", "qps":
+			r.Rate = i + 1
+		case "outstanding", "inflight":
+			r.Held = i + 1
+		}
+	}
+	return r
+}
+
+// tally is how often the launcher tells what it counted; 0 where it does not.
+func (t *Terms) tally() (every brain.Micros) {
+	if t.has("FamilyInfo.TallyEveryMs") {
+		every = t.ms("FamilyInfo.TallyEveryMs")
+	}
+	sample := t.opt("FamilyInfo.TallySample", 0)
+	if sample < 0 || sample > 1 {
+		t.fail("FamilyInfo.TallySample", fmt.Sprintf("is %v, not a share from 0 to 1", sample))
+	}
+	if every > 0 && sample == 0 {
+		t.fail("FamilyInfo.TallySample", fmt.Sprintf("is 0, but %sFamilyInfo.TallyEveryMs is %v: counts of nothing", t.under, every/1000))
+	}
+	return every
+}
+
+// unmixed refuses settings of two shapes of deployment in one configuration: what one key promises another forbids.
+func (t *Terms) unmixed() {
+	if how := t.pairs["Feedback.How"]; (how == "on_probe" || how == "probe") && t.has("Limits.Probes") && !t.flag("Limits.Probes") {
+		t.fail("Feedback.How", fmt.Sprintf("is %q, but %sLimits.Probes is false: no report would come; expected inline or off", how, t.under))
+	}
+	if t.reported() && len(t.words("Feedback.Fields")) == 0 {
+		t.fail("Feedback.Fields", fmt.Sprintf("names no figure, but %sFeedback.How is %q", t.under, t.pairs["Feedback.How"]))
+	}
+	if most := t.count("Limits.MaxAttempts"); t.flag("Limits.ParallelTries") && most < 2 {
+		t.fail("Limits.ParallelTries", fmt.Sprintf("is true, but %sLimits.MaxAttempts is %d: there is no second copy", t.under, most))
+	}
+	if t.pairs["FamilyInfo.VoteMode"] == "timer" && t.opt("FamilyInfo.VotesToGo", 0) > 0 {
+		t.fail("FamilyInfo.VotesToGo", fmt.Sprintf("is %v, but %sFamilyInfo.VoteMode is timer: no vote moves a stage on", t.pairs["FamilyInfo.VotesToGo"], t.under))
+	}
+}
+
 // Open starts a module on these terms.
 func (t *Terms) Open(seed uint64) (brain.Router, error) {
 	st := brain.Station{Me: t.count("Me"), Agents: t.count("Balancers"), Zone: t.count("Zone"), Seed: int64(seed),
-		WarmKeys: t.flag("FamilyInfo.WarmKeys"), Sized: t.pairs["Weights"] != "off"}
-	if t.pairs["Feedback.How"] == "inline" {
-		for i, field := range t.words("Feedback.Fields") {
-			switch field {
-			case "utilization":
-				st.Report.Busy = i + 1
-			case "throughput":
-				st.Report.Rate = i + 1
-			case "outstanding":
-				st.Report.Held = i + 1
-			}
-		}
-	}
+		WarmKeys: t.flag("FamilyInfo.WarmKeys"), Sized: t.sized(), Report: t.report()}
+	t.unmixed()
 	if st.Agents < 1 {
 		t.fail("Balancers", fmt.Sprintf("is %d; there is one agent at least, this one", st.Agents))
 	}
@@ -220,9 +269,7 @@
 		CallsPerS: t.num("FamilyInfo.ApiRate"), ToGo: t.count("FamilyInfo.VotesToGo"),
 		ToGoBack: t.count("FamilyInfo.NoesNeeded"), Ballot: pick(t, "FamilyInfo.VoteMode", map[string]brain.Ballot{
 			"any": brain.BallotAny, "share": brain.BallotShare, "timer": brain.BallotTimer})}
-	if t.has("FamilyInfo.TallyEveryMs") {
-		polling.Tally = t.ms("FamilyInfo.TallyEveryMs")
-	}
+	polling.Tally = t.tally()
 	count := brain.Exposure{Window: t.ms("FamilyInfo.CountedOverMs"), Free: t.num("FamilyInfo.Allowance"),
 		ByProduct: pick(t, "FamilyInfo.CountedBy", map[string]bool{"class": true, "all": false})}
 	cold := brain.ColdStart{From: t.num("Safety.ColdFrom"), Warm: t.ms("Safety.ColdMs"),
--- a/charter/terms_test.go
+++ b/charter/terms_test.go
@@ -77,3 +77,47 @@
 		}
 	}
 }
+
+// What the module reads of a deployment's shape: absent keys leave it as it was, faulty ones end the start with the key, and
+// keys that promise what others forbid are named both.
+func TestShape(t *testing.T) {
+	for lines, want := range map[string]string{
+		"": "", "Weights=nominal\n": "", "Weights=off\nFeedback.How=inline\nFeedback.Fields=utilization,throughput\n": "",
+		"FamilyInfo.TallyEveryMs=2000\nFamilyInfo.TallySample=0.1\n": "", "FamilyInfo.TallyEveryMs=0\nFamilyInfo.TallySample=0\n": "",
+		"Limits.ParallelTries=true\n": "",
+		"Weights=heavy\n":             "setting Weights is \"heavy\"",
+		"Feedback.How=shouted\n":      "setting Feedback.How is \"shouted\"",
+		"FamilyInfo.TallyEveryMs=-1\nFamilyInfo.TallySample=0.1\n":    "setting FamilyInfo.TallyEveryMs is -1",
+		"FamilyInfo.TallyEveryMs=often\nFamilyInfo.TallySample=0.1\n": "setting FamilyInfo.TallyEveryMs is \"often\"",
+		"FamilyInfo.TallyEveryMs=2000\nFamilyInfo.TallySample=1.5\n":  "setting FamilyInfo.TallySample is 1.5",
+		"FamilyInfo.TallyEveryMs=2000\n":                              "setting FamilyInfo.TallySample is 0, but FamilyInfo.TallyEveryMs is 2000",
+		"Feedback.How=on_probe\nLimits.Probes=false\n":                "setting Feedback.How is \"on_probe\", but Limits.Probes is false",
+		"Feedback.How=inline\n":                                       "setting Feedback.Fields names no figure, but Feedback.How",
+		"Limits.ParallelTries=true\nLimits.MaxAttempts=1\n":           "setting Limits.ParallelTries is true, but Limits.MaxAttempts is 1",
+		"FamilyInfo.VoteMode=timer\n":                                 "setting FamilyInfo.VotesToGo is 1, but FamilyInfo.VoteMode is timer",
+	} {
+		_, err := Pairs(sound + lines).Open(1)
+		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%q: %v, want %q", lines, err, want)
+		}
+	}
+}
+
+// One build reads both shapes, from the simulator's pairs and from a program's file, by either's names for the figures.
+func TestReport(t *testing.T) {
+	file, err := nested("config.settings", []byte(`{"Feedback":{"How":"answers","Fields":["util","heat","qps"]},"Weights":"none"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := file.report(); r.Busy != 1 || r.Rate != 3 || r.Held != 0 || file.sized() || file.Err() != nil {
+		t.Errorf("%+v, sized %v, %v", r, file.sized(), file.Err())
+	}
+	halls := Pairs("Feedback.How=inline\nFeedback.Fields=outstanding\nWeights=nominal\n")
+	if r := halls.report(); r.Held != 1 || r.Busy != 0 || r.Rate != 0 || !halls.sized() || halls.Err() != nil {
+		t.Errorf("%+v, sized %v, %v", r, halls.sized(), halls.Err())
+	}
+	old := Pairs("Feedback.How=on_probe\nFeedback.Fields=backlog\n")
+	if r := old.report(); r.Busy+r.Rate+r.Held != 0 || !old.sized() || old.Err() != nil {
+		t.Errorf("%+v, sized %v, %v", r, old.sized(), old.Err())
+	}
+}
