Lateness alone needs more on the bench; cold machines on turns count three tenths in the slice

The bench's ratio went from -4 to 3.1 on late answers of machines that had just warmed, and since the others follow the bench that was enough; before, five votes never were. judge.ratio: on the bench lateness counts past ln(agents) only. Checked and dropped: the pauses (they begin later), the drag (never above 1.2 of the calm before the vote).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,8 +40,8 @@
 	return max(size, 1e-9) * a.pace()
 }
 
-// reportFade: some ten reports, as each counts few txns; fleetFade, a hundred of all. leastBusy: three reports
-// of one half busy. sizeApart bounds what reports can make of an appliance.
+// reportFade: some ten reports, as each counts few txns; fleetFade, a hundred of all. leastBusy: three of one
+// half busy. sizeApart bounds what reports can make of an appliance.
 const reportFade, fleetFade, leastBusy, sizeApart = 0.1, 0.01, 0.15, 3
 
 // measure learns from a load report what the appliance can do: what it serves by how busy that makes it.
@@ -74,8 +74,8 @@
 }
 
 const (
-	// asideFor and asideSpread: the users' practice; a second is the order of a restart's first signs. fullFor: a
-	// full appliance works off a txn or two in this time.
+	// asideFor and asideSpread: the users' practice; a second is the order of a restart's first signs. fullFor:
+	// a full appliance works off a txn or two in this time.
 	asideFor, asideSpread, fullFor = 1 * second, 500 * ms, 300 * ms
 	// quietPart of the SLA time with submissions out and no answer: no more until it answers. It guards against
 	// all that goes quiet (frozen, cut off, stuck) before time-outs tell, and may spare one with a long txn.
@@ -224,8 +224,7 @@
 	return mix(t.ID ^ ringSalt)
 }
 
-// keyPart of an appliance is the most that one key should fill: beside it, the arc carries its usual load.
-const keyPart = 0.3
+const keyPart = 0.3 // of an appliance is the most that one key should fill: its arc carries more
 
 // arc guards against keys that draw more than one appliance can do: an agent takes as many arcs for a key as
 // it took its txns in the time in which all agents, alike, fill keyPart of one. It may cost a warm place.
@@ -353,8 +352,7 @@
 
 func (d *desk) turns(a *appliance) bool { return a.pace() < 1 && d.coldPart(a) < d.usual }
 
-// coldLoad is the load that turns give a cold appliance: what a busy fleet carries, well inside any multiple.
-const coldLoad = 0.6
+const coldLoad = 0.6 // what turns give a cold appliance: what a busy fleet carries, well inside any multiple
 
 // turn guards a cold appliance against all agents together, also in hot keys and moved traffic: one txn in an
 // agent's turn, which comes by the agents' numbers and lasts for the told span. It may leave it idle.
@@ -423,6 +421,8 @@
 	return earlier
 }
 
+const turnsPart = 0.3 // with turns a cold appliance gets less than its arc: the warm ones would get the rest
+
 // sliceOfCap is the design's: the slice stays this far inside the cap, so repeats find room in the count.
 const sliceOfCap = 0.8
 
@@ -432,7 +432,7 @@
 	var ready [leaving + 1]float64
 	for _, a := range d.fleet.all {
 		if a.ready() {
-			ready[d.rank(a.Build, top)] += a.weight()
+			ready[d.rank(a.Build, top)] += a.weight() * (1 - one(d.turns(a))*(1-turnsPart))
 		}
 	}
 	places := max(ready[trial], ready[earlier])
@@ -474,8 +474,7 @@
 	d.answer(t)
 }
 
-// holdPart of its SLA time is the longest that a txn is held. For jamFor after one is given up it is a jam.
-const holdPart, jamFor = 0.5, 1 * second
+const holdPart, jamFor = 0.5, 1 * second // a txn is held for that part of its SLA time; one given up is a jam
 
 // blameFade: a customer's last twenty endings. ownErrors: a bad build or machine fails fewer of them.
 const blameFade, ownErrors, blamesMost = 0.05, 0.2, 1000
@@ -763,6 +762,9 @@
 	if len(lates) > 1 && (j.sits || j.seen >= leastSeen*len(lates)) && lower(lates) <= 0 {
 		late = min(late, 0) // half are not late: it is some machines, or their load
 	}
+	if j.sits && late > 0 { // what it holds all follow, and cold machines that have just warmed are late too
+		late = max(0, late-math.Log(float64(j.agents)))
+	}
 	switch {
 	case failing > 0:
 		late = max(late, 0) // quick answers do not speak for a build that fails
@@ -772,8 +774,7 @@
 	return failing + late
 }
 
-// eldersSay of the oldest must fail, leastAlike of them at least.
-const eldersSay = 0.6
+const eldersSay = 0.6 // of the oldest must fail, leastAlike of them at least
 
 // elders adds up what the oldest of a build's appliances say against it, the most over any number of them: a
 // build that decays fails there first, while in the one sum all good outcomes of the younger are against it.
@@ -826,7 +827,7 @@
 	// doneSpan and calmSpan: completions are averaged over these times.
 	doneSpan, calmSpan = 3 * second, 10 * second
 	// Where the outcomes of all are known, a drag with stepFrom of the txns at the build and less than stepIn of
-	// the calm's submissions comes in step with it: it counts stepPart, so that three to five seconds are enough.
+	// the calm's submissions comes in step with it: it counts stepPart, so that some three seconds are enough.
 	stepFrom, stepIn, stepPart = 0.1, 1.2, 3
 	// settleAfter its release, a build counts as part of the calm.
 	settleAfter = 25 * second
