Scenarios: counts of unknown builds, old words and garbled ones fail without their guards

No scenario held that a word over three seconds old is none, nor one that is no verdict (the index went out of range without its guard).

--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -247,7 +247,7 @@
 			Took: Micros(s.val(opts(w[4:]), "took", 0)) * ms, Age: second})
 	case "word": // SEAT BUILD STAGE VERDICT, what one of the bench holds; a number over the seats is another agent
 		from := s.seat(w[0])
-		v := map[string]Verdict{"none": NoVote, "on": On, "back": Back}[w[3]]
+		v := map[string]Verdict{"none": NoVote, "on": On, "back": Back, "9": 9}[w[3]]
 		s.give(Heard{From: from, Text: []byte{byte(s.num(w[1])), 0, 0, 0, byte(s.num(w[2])), byte(v), wordLine, 0, 0, 0}})
 	case "flag":
 		for n := s.num(w[1]); n > 0; n-- { // ID TIMES
