--- a/cmd/switchfork/chair.go
+++ b/cmd/switchfork/chair.go
@@ -13,12 +13,12 @@
 
 	"switchfork/brain"
 	"switchfork/charter"
-	"switchfork/council"
-	"switchfork/decider"
+	"switchfork/fleet/council"
+	"switchfork/fleet/decider"
+	"switchfork/fleet/vault"
+	"switchfork/fleet/ways"
 	"switchfork/operator"
 	"switchfork/sockets"
-	"switchfork/vault"
-	"switchfork/ways"
 )
 
 // This file owns how the decider's parts are put together, and the commands that ask a running agent.
--- a/cmd/switchlab/decider.go
+++ b/cmd/switchlab/decider.go
@@ -11,9 +11,9 @@
 
 	"github.com/spf13/cobra"
 
-	"switchfork/decider"
-	"switchfork/lab"
-	"switchfork/ways"
+	"switchfork/fleet/decider"
+	"switchfork/fleet/ways"
+	"switchfork/rehearsal/lab"
 )
 
 // This file owns the experiment on the decider: random schedules of troubles, checked at the launcher's model.
--- a/cmd/switchlab/demo.go
+++ b/cmd/switchlab/demo.go
@@ -18,7 +18,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/term"
 
-	"switchfork/standin"
+	"switchfork/rehearsal/standin"
 )
 
 // This file owns what is played with the real agent: the demo, and the door's short form on loopback.
--- a/cmd/switchlab/door.go
+++ b/cmd/switchlab/door.go
@@ -12,7 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"switchfork/door"
-	"switchfork/lab"
+	"switchfork/rehearsal/lab"
 )
 
 // This file owns the experiment on the door: what the others get while one tenant floods, beside the same day without it
--- a/cmd/switchlab/door_test.go
+++ b/cmd/switchlab/door_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"switchfork/standin"
+	"switchfork/rehearsal/standin"
 )
 
 // The real agent under more load than its appliances can do: the limit of txns in falls when they slow down fivefold, so that
--- a/cmd/switchlab/logs.go
+++ b/cmd/switchlab/logs.go
@@ -10,7 +10,7 @@
 
 	"github.com/spf13/cobra"
 
-	"switchfork/logbook"
+	"switchfork/rehearsal/logbook"
 )
 
 // This file owns the count over many agents' logs.
--- a/council/admin.go
+++ b/fleet/council/admin.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"switchfork/decider"
+	"switchfork/fleet/decider"
 )
 
 // This file owns the admin address: a Unix socket on which the operator's commands ask an agent, and its metrics are read.
--- a/council/council.go
+++ b/fleet/council/council.go
@@ -12,8 +12,8 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"switchfork/brain"
-	"switchfork/decider"
-	"switchfork/ways"
+	"switchfork/fleet/decider"
+	"switchfork/fleet/ways"
 )
 
 // Way carries bytes to another agent, or loses them.
--- a/council/loopback_test.go
+++ b/fleet/council/loopback_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"switchfork/standin"
+	"switchfork/rehearsal/standin"
 )
 
 // These start three real agents among stand-ins, each with its own relays to the others.
--- a/vault/vault.go
+++ b/fleet/vault/vault.go
@@ -15,7 +15,7 @@
 
 	"go.etcd.io/bbolt"
 
-	"switchfork/decider"
+	"switchfork/fleet/decider"
 )
 
 const (
--- a/vault/vault_test.go
+++ b/fleet/vault/vault_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"switchfork/decider"
+	"switchfork/fleet/decider"
 )
 
 func memory(n uint64) decider.Memory {
--- a/ways/codec.go
+++ b/fleet/ways/codec.go
@@ -8,7 +8,7 @@
 	"errors"
 	"hash/crc32"
 
-	"switchfork/decider"
+	"switchfork/fleet/decider"
 )
 
 // mark begins every message. The judges' sheets share the socket: they hold lines of nine bytes, which size is not.
--- a/ways/ways_test.go
+++ b/fleet/ways/ways_test.go
@@ -12,7 +12,7 @@
 
 	"pgregory.net/rapid"
 
-	"switchfork/decider"
+	"switchfork/fleet/decider"
 )
 
 func anyMessage(t *rapid.T) decider.Message {
--- a/lab/decider.go
+++ b/rehearsal/lab/decider.go
@@ -6,7 +6,7 @@
 	"math/rand"
 	"slices"
 
-	"switchfork/decider"
+	"switchfork/fleet/decider"
 )
 
 // This file owns the model in which deciders are tried: agents with clocks of their own that stand still and restart, a
--- a/lab/world_test.go
+++ b/rehearsal/lab/world_test.go
@@ -4,7 +4,7 @@
 	"reflect"
 	"testing"
 
-	"switchfork/decider"
+	"switchfork/fleet/decider"
 )
 
 func day() Day {
--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -18,7 +18,7 @@
 	"testing"
 	"time"
 
-	"switchfork/standin"
+	"switchfork/rehearsal/standin"
 )
 
 // These start the program itself and speak to it as its parties do.
--- a/sockets/stand_in_test.go
+++ b/sockets/stand_in_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"switchfork/standin"
+	"switchfork/rehearsal/standin"
 )
 
 // What the tests take from package standin. Waits have a long limit and end when what they wait for has come: no sleep
