Trial rig: nights of several processes, played by a runner that judges by far ends and relays

Need: several real agents with faults between them, from small text files, judged from outside.

While a way drops everything a listener now answers no new connection: an accepted one let an agent write what in service it could not have written.

--- a/cmd/switchlab/main.go
+++ b/cmd/switchlab/main.go
@@ -26,7 +26,7 @@
 		},
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return use{err} })
-	root.AddCommand(doorCommand(), deciderCommand(), demoCommand(), logsCommand())
+	root.AddCommand(doorCommand(), deciderCommand(), demoCommand(), logsCommand(), trialCommand())
 	err := root.Execute()
 	var wrong use
 	switch {
--- a/rehearsal/trial/links/fault.go
+++ b/rehearsal/trial/links/fault.go
@@ -64,6 +64,28 @@
 	holding bool
 	changed chan struct{}
 	count   Count
+	acted   int64 // how often what is wrong made a difference
+	idle    bool  // told to do nothing: for the test of who tests
+}
+
+// Idle has a way do nothing, whatever is wrong with it.
+func (w *Way) Idle() {
+	w.mu.Lock()
+	w.idle = true
+	w.mu.Unlock()
+}
+
+// Acted is how often something wrong with this way has made a difference.
+func (w *Way) Acted() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.acted
+}
+
+func (w *Way) act() {
+	w.mu.Lock()
+	w.acted++
+	w.mu.Unlock()
 }
 
 // NewWay is one on which nothing is wrong, with its own chance.
@@ -75,7 +97,9 @@
 func (w *Way) Set(f Fault) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.fault = f
+	if w.fault = f; w.idle {
+		w.fault = Fault{}
+	}
 	w.serial++
 	w.free = 0
 	close(w.changed)
@@ -116,6 +140,9 @@
 	if f.Spread > 0 {
 		at += w.chance.Int63n(2*f.Spread+1) - f.Spread
 	}
+	if at > now {
+		w.acted++
+	}
 	return max(now, at)
 }
 
@@ -125,17 +152,20 @@
 	defer w.mu.Unlock()
 	f := w.fault
 	if f.Drop || f.Refuse || f.Silent || f.Lose > 0 && w.chance.Float64() < f.Lose {
+		w.acted++
 		return Fate{}
 	}
 	d := Fate{Copies: 1, At: max(w.delay(now, n), w.last)}
 	if f.Double > 0 && w.chance.Float64() < f.Double {
 		d.Copies = 2
+		w.acted++
 	}
 	switch {
 	case w.holding:
 		w.holding, d.Release = false, true
 	case f.Swap > 0 && w.chance.Float64() < f.Swap/(1-f.Swap): // one that overtakes is not drawn for: the share of all stays Swap
 		w.holding, d.Held, d.At = true, true, d.At+overtakenWait
+		w.acted++
 		return d
 	}
 	w.last = d.At
@@ -158,6 +188,7 @@
 	for i := 0; i < resends && w.fault.Lose > 0 && w.chance.Float64() < w.fault.Lose; i++ {
 		at += wait
 		wait *= 2
+		w.acted++
 	}
 	return max(at, ahead)
 }
--- a/rehearsal/trial/links/stream.go
+++ b/rehearsal/trial/links/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -13,8 +14,8 @@
 // Clock gives the time since a rig's start.
 type Clock func() Micros
 
-// Stream relays TCP connections from one party to one address, each byte subject to what is wrong with its direction. It
-// accepts at once: what a handshake over a slow way would cost is not played, nor is a connection that never comes up.
+// Stream relays TCP connections from one party to one address, each byte subject to what is wrong with its direction. While a
+// way drops everything or is silent, new connections never come up. What a handshake over a slow way would cost is not played.
 type Stream struct {
 	There, Back *Way
 	from        int
@@ -27,6 +28,7 @@
 	open        map[*joint]bool
 	closed      chan struct{}
 	wait        sync.WaitGroup
+	mute        *mute
 }
 
 // Host is the address of loopback that a party's relays dial from, so that the far end knows who speaks; Party is its inverse.
@@ -53,7 +55,9 @@
 	}
 	s := &Stream{There: NewWay(seed), Back: NewWay(^seed), from: from, l: l, target: target, now: now, open: map[*joint]bool{},
 		closed: make(chan struct{}), dial: net.Dialer{Timeout: 5 * time.Second, LocalAddr: &net.TCPAddr{IP: Host(from)}}}
+	s.mute = newMute(s.l.(*net.TCPListener), s.closed)
 	s.wait.Go(s.accept)
+	s.wait.Go(s.watch)
 	return s, nil
 }
 
@@ -86,9 +90,19 @@
 func (s *Stream) accept() {
 	for {
 		c, err := s.l.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if s.mute.rest() {
+				continue
+			}
+			return
+		}
 		if err != nil {
 			return
 		}
+		if s.mute.filler(c) {
+			c.Close()
+			continue
+		}
 		j := &joint{s: s, near: c.(*net.TCPConn), over: make(chan struct{}), trace: &Trace{From: s.from, Opened: s.now()}}
 		s.mu.Lock()
 		select {
@@ -111,6 +125,25 @@
 	}
 }
 
+// watch has new connections never come up while they could not.
+func (s *Stream) watch() {
+	for {
+		there, _, changed := s.There.Fault()
+		back, _, turned := s.Back.Fault()
+		if s.mute.set(there.Drop || there.Silent || back.Drop || back.Silent) {
+			s.There.act()
+			s.Back.act()
+		}
+		select {
+		case <-changed:
+		case <-turned:
+		case <-s.closed:
+			s.mute.set(false)
+			return
+		}
+	}
+}
+
 // joint is one connection through a relay.
 type joint struct {
 	s         *Stream
@@ -171,12 +204,16 @@
 		there, _, changed := s.There.Fault()
 		back, _, turned := s.Back.Fault()
 		if there.Refuse || back.Refuse {
+			s.There.act()
+			s.Back.act()
 			j.reset()
 			return
 		}
 		if !there.Drop && !back.Drop {
 			break
 		}
+		s.There.act()
+		s.Back.act()
 		select {
 		case <-changed:
 		case <-turned:
@@ -195,7 +232,7 @@
 		return
 	}
 	j.trace.mu.Lock()
-	j.far, j.trace.Port = c.(*net.TCPConn), c.LocalAddr().(*net.TCPAddr).Port
+	j.far, j.trace.port = c.(*net.TCPConn), c.LocalAddr().(*net.TCPAddr).Port
 	j.trace.mu.Unlock()
 	select {
 	case <-j.over: // closed meanwhile, and far was not known then
@@ -261,12 +298,16 @@
 	for {
 		f, serial, changed := w.Fault()
 		if f.Refuse || dead && !f.Silent {
+			w.act()
 			j.reset()
 			return
 		}
 		if serial != since {
 			since, left = serial, f.Reset
 		}
+		if held != nil && f.Drop {
+			w.act()
+		}
 		var due <-chan time.Time
 		if held != nil && !f.Drop {
 			wait := time.Duration(held.at-j.s.now()) * time.Microsecond
@@ -299,6 +340,7 @@
 	switch {
 	case f.Silent:
 		w.add(Count{Gone: 1})
+		w.act()
 		*dead = true
 		return true
 	case b == nil:
@@ -329,6 +371,7 @@
 		}
 	}
 	if *left -= n; cut {
+		w.act()
 		j.reset()
 		return false
 	}
--- a/rehearsal/trial/links/trace.go
+++ b/rehearsal/trial/links/trace.go
@@ -14,7 +14,7 @@
 // Trace is what a relay saw of one connection. Only its own relay writes to it.
 type Trace struct {
 	From   int    // who opened it, by the number of the relay's party
-	Port   int    // of the relay on its far side: the far end sees it as the remote port
+	port   int    // of the relay on its far side: the far end sees it as the remote port; 0: there is none
 	Opened Micros // when the near side's connection came
 	mu     sync.Mutex
 	up     []Pass // came from who opened it
@@ -75,6 +75,13 @@
 	return t.toFar, t.ofFar, t.over, !t.broken
 }
 
+// FarPort is the relay's port on its far side, as the far end sees it; 0 where the connection never got there.
+func (t *Trace) FarPort() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.port
+}
+
 // Full tells that the trace had no room for all.
 func (t *Trace) Full() bool {
 	t.mu.Lock()
--- /dev/null
+++ b/rehearsal/trial/nights_test.go
@@ -0,0 +1,168 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"switchfork/rehearsal/standin"
+)
+
+// programs are the agent and another version of it, built once.
+var programs = sync.OnceValues(func() (map[string]string, error) {
+	dir, err := os.MkdirTemp("", "switchfork")
+	if err != nil {
+		return nil, err
+	}
+	built = dir
+	now, err := standin.BuildAgent(dir, "switchfork", "-race")
+	if err != nil {
+		return nil, err
+	}
+	other, err := standin.BuildAgent(dir, "other", "-ldflags", "-X main.version=other")
+	return map[string]string{firstProgram: now, "other": other}, err
+})
+
+var built string
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if built != "" {
+		os.RemoveAll(built)
+	}
+	os.Exit(code)
+}
+
+func how(t *testing.T) Playing {
+	t.Helper()
+	p, err := programs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Playing{Programs: p}
+}
+
+// atOnce bounds how many nights are played at a time: their clients and appliances share the machine with their agents.
+var atOnce = make(chan struct{}, 4)
+
+func play(t *testing.T, n *Night, how Playing) *Verdict {
+	t.Helper()
+	atOnce <- struct{}{}
+	defer func() { <-atOnce }()
+	return Play(t.Context(), n, how)
+}
+
+// Every night that is shipped passes. SWITCHFORK_NIGHTS plays those whose names hold it, SWITCHFORK_TIMES so often.
+func TestNights(t *testing.T) {
+	files, _ := filepath.Glob("nights/*.txt")
+	if len(files) == 0 {
+		t.Fatal("no nights")
+	}
+	times := 1
+	fmt.Sscan(os.Getenv("SWITCHFORK_TIMES"), &times)
+	how := how(t)
+	for _, f := range files {
+		if !strings.Contains(f, os.Getenv("SWITCHFORK_NIGHTS")) {
+			continue
+		}
+		n, err := ReadNight(f)
+		if err == nil {
+			err = n.Playable(how)
+		}
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		for range times {
+			t.Run(strings.TrimSuffix(n.File, ".txt"), func(t *testing.T) {
+				t.Parallel()
+				if v := play(t, n, how); !v.Passed {
+					t.Errorf("%s\nlogs, time line and records are in %s", strings.Join(v.Failures(), "\n"), v.Folder)
+				}
+			})
+		}
+	}
+}
+
+// A night whose expectation is made false on purpose fails on that line, and so does one whose relays do nothing.
+func TestFalseNightsFail(t *testing.T) {
+	how := how(t)
+	const text = `agents 2
+appliances 3 slots=4 work=2ms
+0s load 40
+0s slow 50ms agents -> appliances
+1s heal all
+1s load 0
+expect settled >= 0.9
+expect settled <= 0.1 of=agent:1
+expect never arrivals
+expect votes:back >= 1
+`
+	for _, c := range []struct {
+		name string
+		idle bool
+		want []string
+	}{
+		{"made false", false, []string{"false:8:", "false:9:", "false:10:"}},
+		{"idle", true, []string{"false:4:", "false:8:", "false:9:", "false:10:"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			n, err := ParseNight("false", text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			own := how
+			own.Idle, own.Keep = c.idle, t.TempDir()
+			v := play(t, n, own)
+			got := v.Failures()
+			if v.Passed || len(got) != len(c.want) {
+				t.Fatalf("passed %t, failures %q, want %q", v.Passed, got, c.want)
+			}
+			for i, w := range c.want {
+				if !strings.HasPrefix(got[i], w) {
+					t.Errorf("failure %q, want one of %s", got[i], w)
+				}
+			}
+			for _, name := range []string{"agent-0.log", "agent-1.log", "timeline.txt", "verdict.json", "records.json"} {
+				if info, err := os.Stat(filepath.Join(v.Folder, name)); err != nil || info.Size() == 0 {
+					t.Errorf("%s is not kept: %v", name, err)
+				}
+			}
+		})
+	}
+}
+
+// A night that is interrupted, and one that can't be played, leave no process behind.
+func TestInterrupted(t *testing.T) {
+	how := how(t)
+	n, err := ParseNight("long", "agents 3\n0s load 40\n0s stop agent:1\n0s drop agents -> appliances\n60s load 0\nexpect settled >= 0\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	how.Keep = t.TempDir()
+	ctx, stop := context.WithCancel(t.Context())
+	how.Progress = func(done, _ int, _ string) {
+		if done == 3 {
+			stop()
+		}
+	}
+	v := Play(ctx, n, how)
+	if v.Passed || len(v.Lines) == 0 || !strings.Contains(v.Lines[0].Seen, "canceled") {
+		t.Errorf("interrupted: %+v", v)
+	}
+	for i := range 3 {
+		log, _ := os.ReadFile(filepath.Join(v.Folder, "timeline.txt"))
+		if !strings.Contains(string(log), fmt.Sprintf("agent %d's process is over", i)) {
+			t.Errorf("agent %d: its end is not in the time line", i)
+		}
+	}
+	how.Programs = map[string]string{firstProgram: "/bin/false"}
+	if v = Play(t.Context(), n, how); v.Passed || !strings.Contains(v.Error, "has ended at its start") {
+		t.Errorf("a program that ends at once: %+v", v)
+	}
+}
--- /dev/null
+++ b/rehearsal/trial/play.go
@@ -0,0 +1,612 @@
+package trial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"switchfork/fleet/council"
+	"switchfork/rehearsal/standin"
+	"switchfork/rehearsal/trial/links"
+)
+
+// This file owns how a night is played: its steps in their time, and its verdict.
+
+// Line is a line of a night that was held against what happened.
+type Line struct {
+	Line   int    `json:"line"`
+	Text   string `json:"text"`
+	Passed bool   `json:"passed"`
+	Seen   string `json:"seen"`
+}
+
+// Verdict is what came of a night.
+type Verdict struct {
+	Night    string   `json:"night"`
+	Seed     int64    `json:"seed"`
+	Passed   bool     `json:"passed"`
+	Error    string   `json:"error,omitempty"` // it could not be played
+	Lines    []Line   `json:"lines"`
+	Breaches []string `json:"breaches,omitempty"`
+	Differ   []string `json:"differ,omitempty"` // stand-ins' records against the relays'
+	Txns     int      `json:"txns"`
+	TookMS   int64    `json:"took_ms"`
+	Folder   string   `json:"folder,omitempty"`
+}
+
+// Failures are what is to be told of a night that failed, a line each.
+func (v *Verdict) Failures() (out []string) {
+	if v.Error != "" {
+		out = append(out, v.Error)
+	}
+	for _, l := range v.Lines {
+		if !l.Passed {
+			out = append(out, fmt.Sprintf("%s:%d: %s: seen %s", v.Night, l.Line, l.Text, l.Seen))
+		}
+	}
+	for _, b := range v.Breaches {
+		out = append(out, fmt.Sprintf("%s: %s", v.Night, b))
+	}
+	for _, d := range v.Differ {
+		out = append(out, fmt.Sprintf("%s: records differ: %s", v.Night, d))
+	}
+	return out
+}
+
+// Playing is how a night is to be played.
+type Playing struct {
+	Programs map[string]string // by name; firstProgram's is the one that agents start as
+	Seed     int64             // 0: the night's own
+	Agents   int               // 0: the night's own
+	Keep     string            // a folder for logs and records; none: kept only where the night fails
+	Idle     bool              // relays are told to do nothing
+	Direct   bool              // no relays
+	Progress func(done, of int, text string)
+}
+
+// faultLine is a line that put something wrong on ways.
+type faultLine struct {
+	step  Step
+	ways  map[*links.Way]int64 // what each had acted when it began
+	acted int64
+}
+
+// player plays one night.
+type player struct {
+	*Rig
+	how    Playing
+	names  map[string]int          // agents
+	marks  map[string]links.Micros // moments
+	faults []*faultLine
+	lines  []Line
+}
+
+// Play plays a night. The context's end interrupts it; whatever happens, nothing that it started is left.
+func Play(ctx context.Context, n *Night, how Playing) (v *Verdict) {
+	if how.Seed != 0 {
+		copied := *n
+		copied.Seed = how.Seed
+		n = &copied
+	}
+	if how.Agents != 0 {
+		copied := *n
+		copied.Agents = how.Agents
+		n = &copied
+	}
+	start := time.Now()
+	v = &Verdict{Night: n.File, Seed: n.Seed}
+	defer func() { v.TookMS = time.Since(start).Milliseconds() }()
+	dir, err := os.MkdirTemp("", "sf-trial") // short: sockets of the admin address lie in it
+	if err != nil {
+		v.Error = err.Error()
+		return v
+	}
+	defer os.RemoveAll(dir)
+	ctx, stop := context.WithTimeoutCause(ctx, n.Bound+readyWithin, fmt.Errorf("the night is over its bound of %v", n.Bound))
+	defer stop()
+	rig, err := build(ctx, n, dir, how.Programs, how.Direct)
+	if err != nil {
+		v.Error = fmt.Sprintf("%s: the rig does not stand: %v", n.File, err)
+		if rig != nil && rig.agents != nil {
+			v.keep(rig, how.Keep, nil)
+		}
+		return v
+	}
+	p := &player{Rig: rig, how: how, names: map[string]int{}, marks: map[string]links.Micros{}}
+	p.note("rig", "all serve")
+	p.marks["start"] = p.now()
+	err = p.steps()
+	p.stopLoad()
+	p.crowd.finish()
+	p.endFaults(nil)
+	records := p.records()
+	p.verdict(v, records, err)
+	p.close()
+	p.awaitFarEnds()
+	v.Differ = p.differ()
+	v.Passed = v.Error == "" && len(v.Breaches) == 0 && len(v.Differ) == 0 && !slices.ContainsFunc(v.Lines, func(l Line) bool { return !l.Passed })
+	if how.Keep != "" || !v.Passed {
+		v.keep(rig, how.Keep, records)
+	}
+	return v
+}
+
+// errStep is a step that did not come about; the night ends with it.
+type errStep struct {
+	step Step
+	seen string
+}
+
+func (e errStep) Error() string { return e.seen }
+
+// zero is where a night's times count from: all serve.
+func (p *player) zero() links.Micros { return p.marks["start"] }
+
+func (p *player) steps() error {
+	last := p.now()
+	for i, s := range p.night.Steps {
+		at := p.zero() + micros(s.At)
+		if s.After {
+			at = last + micros(s.At)
+		}
+		if p.how.Progress != nil {
+			p.how.Progress(i, len(p.night.Steps), s.Text)
+		}
+		if err := p.until(at); err != nil {
+			return errStep{s, err.Error()}
+		}
+		p.note("night", "%d: %s", s.Line, s.Text)
+		if err := p.do(s); err != nil {
+			return errStep{s, err.Error()}
+		}
+		last = p.now()
+	}
+	return nil
+}
+
+// until waits for a moment; the night's own end comes first.
+func (p *player) until(at links.Micros) error {
+	timer := time.NewTimer(time.Duration(at-p.now()) * time.Microsecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-p.ctx.Done():
+		return context.Cause(p.ctx)
+	}
+}
+
+// look is how often a condition is looked at.
+const look = 20 * time.Millisecond
+
+// within waits for a condition; what was seen last is told where it never came.
+func (p *player) within(bound time.Duration, is func() (bool, string)) error {
+	end := time.Now().Add(bound)
+	for {
+		ok, seen := is()
+		if ok {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s, for %v", seen, bound)
+		}
+		select {
+		case <-p.ctx.Done():
+			return fmt.Errorf("%s, then %w", seen, context.Cause(p.ctx))
+		case <-time.After(look):
+		}
+	}
+}
+
+func (p *player) who(w Who) (out []int) {
+	for i := range p.night.Agents {
+		in := len(w.Numbers) == 0 && w.Name == "" || slices.Contains(w.Numbers, i)
+		if w.Name != "" {
+			in = (i == p.names[w.Name]) != w.Not
+		}
+		if in {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (p *player) chosen(w *Who) chosen {
+	if w == nil {
+		return func(int) bool { return true }
+	}
+	all := p.who(*w)
+	return func(agent int) bool { return slices.Contains(all, agent) }
+}
+
+func (p *player) those(b Boxes) (out []int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, box := range p.boxes {
+		if b.has(i, box.Build) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// each does something for several agents at one time.
+func each(agents []int, do func(i int) error) error {
+	failed := make(chan error, len(agents))
+	for _, i := range agents {
+		go func() { failed <- do(i) }()
+	}
+	var errs []error
+	for range agents {
+		errs = append(errs, <-failed)
+	}
+	return errors.Join(errs...)
+}
+
+func (p *player) do(s Step) error {
+	switch d := s.Do.(type) {
+	case load:
+		p.stopLoad()
+		ctx, stop := context.WithCancel(p.ctx)
+		p.mu.Lock()
+		p.load = stop
+		p.mu.Unlock()
+		p.crowd.send(ctx, p.who(d.who), d, p.night.Seed*257+int64(s.Line))
+	case fault:
+		p.fault(s, d)
+	case signal:
+		return each(p.who(d.who), func(i int) error { return p.signal(i, d) })
+	case reload:
+		return each(p.who(d.who), func(i int) error { return p.reload(i, d) })
+	case list:
+		boxes := p.those(d.boxes)
+		p.Rig.list.change(func(rows []Row) []Row {
+			for i := range rows {
+				if slices.Contains(boxes, rows[i].Box) {
+					rows[i].Health = d.health
+				}
+			}
+			return rows
+		})
+	case add:
+		return p.addBoxes(d.many, d.build)
+	case work:
+		for _, i := range p.those(d.boxes) {
+			p.boxes[i].Slow(d.times)
+		}
+	case failing:
+		for _, i := range p.those(d.boxes) {
+			p.boxes[i].Fail(d.share)
+		}
+	case news:
+		p.desk.change(Stage{Build: d.build, Stage: d.stage, Phase: d.phase, Cap: d.ceiling})
+	case speech:
+		p.desk.quiet(d.silent)
+	case name:
+		not := p.chosen(nil)
+		if d.not != nil {
+			is := p.chosen(d.not)
+			not = func(i int) bool { return !is(i) }
+		}
+		return p.within(d.in, func() (bool, string) {
+			for i, a := range p.agents {
+				if !not(i) {
+					continue
+				}
+				if r, err := council.Ask(a.admin); err == nil && r.Leads {
+					p.names[d.name] = i
+					p.note("night", "%s is agent %d", d.name, i)
+					return true, ""
+				}
+			}
+			return false, "nobody leads"
+		})
+	case members:
+		return p.within(d.in, func() (bool, string) {
+			for _, i := range p.who(d.at) {
+				out, err := exec.Command(p.programs[firstProgram], "members", d.verb, strconv.Itoa(d.agent), "--admin", p.agents[i].admin).CombinedOutput()
+				if err != nil {
+					return false, strings.TrimSpace(string(out))
+				}
+			}
+			return true, ""
+		})
+	case await:
+		of := p.chosen(d.what.Of)
+		return p.within(d.in, func() (bool, string) {
+			v, seen, ok := p.asked(d.what, of)
+			if !ok {
+				v, seen, ok = p.seen().value(d.what, of, span{p.zero(), p.now()})
+			}
+			return ok && d.holds(v), seen
+		})
+	case mark:
+		p.marks[d.name] = p.now()
+	default:
+		return fmt.Errorf("a step of a kind that nobody plays: %T", d)
+	}
+	return nil
+}
+
+// asked asks agents about themselves, for waits only.
+func (p *player) asked(m Measure, of chosen) (v float64, seen string, ok bool) {
+	n, many := 0, 0
+	for i, a := range p.agents {
+		if !of(i) {
+			continue
+		}
+		many++
+		switch m.Name {
+		case "leads":
+			if r, err := council.Ask(a.admin); err == nil && r.Leads {
+				n++
+			}
+		case "members": // the least that any of them knows of
+			r, err := council.Ask(a.admin)
+			if k := len(r.Members); err == nil && (many == 1 || k < n) {
+				n = k
+			} else if err != nil {
+				return 0, "no answer at the admin address", true
+			}
+		case "healthy":
+			if a.proc != nil && !a.proc.Ended() && a.proc.Healthy() {
+				n++
+			}
+		case "log":
+			n += strings.Count(a.log.String(), strings.ReplaceAll(m.Arg, "_", " "))
+		default:
+			return 0, "", false
+		}
+	}
+	return float64(n), fmt.Sprintf("%s is %d", m.Name, n), true
+}
+
+func (p *player) stopLoad() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.load != nil {
+		p.load()
+	}
+	p.load = nil
+}
+
+func (p *player) signal(i int, d signal) error {
+	a := p.agents[i]
+	p.mu.Lock()
+	proc, life := a.proc, &a.lives[len(a.lives)-1]
+	p.mu.Unlock()
+	switch d.verb {
+	case "stop", "go":
+		if proc.Ended() {
+			return fmt.Errorf("agent %d has no process", i)
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if n := len(life.Standstill); d.verb == "stop" {
+			life.Standstill = append(life.Standstill, [2]links.Micros{p.now(), -1})
+			return proc.Freeze()
+		} else if n > 0 {
+			life.Standstill[n-1][1] = p.now()
+		}
+		return proc.Thaw()
+	case "kill":
+		p.ends(life)
+		proc.Kill()
+		return nil
+	case "term":
+		p.mu.Lock()
+		life.Left = p.now()
+		p.mu.Unlock()
+		return proc.Leave()
+	case "restart", "start":
+		if !proc.Ended() && d.verb == "start" { // it was asked to leave
+			select {
+			case <-proc.Over():
+			case <-time.After(leaveWithin):
+				return fmt.Errorf("agent %d still runs %v after it was to end", i, leaveWithin)
+			}
+		}
+		if !proc.Ended() {
+			p.ends(life)
+			proc.Kill()
+		}
+		<-proc.Over()
+		if d.fresh {
+			os.RemoveAll(a.state)
+		}
+		return p.start(a, d.program)
+	}
+	return nil
+}
+
+// leaveWithin is the longest that a process may take to end after SIGTERM: its longest expiry and what a drain adds, with room.
+const leaveWithin = 15 * time.Second
+
+// ends notes that a process is about to be killed: from here on it owes nothing.
+func (p *player) ends(l *Life) {
+	p.mu.Lock()
+	if l.To < 0 {
+		l.To = p.now()
+	}
+	p.mu.Unlock()
+}
+
+// reload writes an agent's files anew and has it read them.
+func (p *player) reload(i int, d reload) error {
+	a := p.agents[i]
+	conf, orders := filepath.Join(a.dir, standin.ConfigFile), filepath.Join(a.dir, standin.OperatorFile)
+	switch d.what {
+	case "spoilt":
+		if err := os.WriteFile(conf, []byte(`{"name":"n`), 0o600); err != nil {
+			return err
+		}
+	case "operator":
+		line := strings.Join(d.words, " ")
+		keep := slices.DeleteFunc(slices.Clone(a.operator), func(l string) bool { return strings.Fields(l)[0] == d.words[0] && d.words[0] != "decider-peer" })
+		a.operator = append(keep, line)
+		if err := os.WriteFile(orders, []byte(strings.Join(a.operator, "\n")+"\n"), 0o600); err != nil {
+			return err
+		}
+	default:
+		to, target := &p.toList[i], p.Rig.list.l.Addr().String()
+		if d.what == "launcher" {
+			to, target = &p.toDesk[i], p.desk.l.Addr().String()
+		}
+		if err := p.move(i, to, target, 3); err != nil {
+			return err
+		}
+		text, _, _ := p.file(a)
+		if err := os.WriteFile(conf, []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return a.proc.Reload()
+}
+
+// waysOf are the directions that a fault means, each once.
+func (p *player) waysOf(d fault) (out []*links.Way) {
+	got := map[*links.Way]bool{}
+	put := func(w *links.Way) {
+		if !got[w] {
+			got[w] = true
+			out = append(out, w)
+		}
+	}
+	if d.heal && d.from.Agents == nil && d.to.Agents == nil {
+		for _, r := range p.relays() {
+			put(r.s.There)
+			put(r.s.Back)
+		}
+		for i := range p.agents {
+			for j := range p.agents {
+				if p.mesh != nil && i != j {
+					put(p.mesh.Way(i, j))
+				}
+			}
+		}
+		return out
+	}
+	way := func(from, to Party) {
+		is := func(x Party, r relay) bool { // the relay's far end
+			switch {
+			case x.Agents != nil:
+				return r.peer >= 0 && p.chosen(x.Agents)(r.peer)
+			case x.Boxes != nil:
+				return r.box >= 0 && x.Boxes.has(r.box, p.boxes[r.box].Build)
+			default:
+				return x.Discovery && r.to == "discovery" || x.Launcher && r.to == "launcher"
+			}
+		}
+		if d.kind != "datagrams" {
+			for _, r := range p.relays() {
+				if from.Agents != nil && p.chosen(from.Agents)(r.from) && is(to, r) {
+					put(r.s.There)
+				}
+				if to.Agents != nil && p.chosen(to.Agents)(r.from) && is(from, r) {
+					put(r.s.Back)
+				}
+			}
+		}
+		if p.mesh != nil && from.Agents != nil && to.Agents != nil && d.kind != "tcp" && !d.streams {
+			for _, i := range p.who(*from.Agents) {
+				for _, j := range p.who(*to.Agents) {
+					if i != j {
+						put(p.mesh.Way(i, j))
+					}
+				}
+			}
+		}
+	}
+	if way(d.from, d.to); d.both {
+		way(d.to, d.from)
+	}
+	return out
+}
+
+func (p *player) fault(s Step, d fault) {
+	ways := p.waysOf(d)
+	if d.heal {
+		p.endFaults(ways)
+		for _, w := range ways {
+			w.Set(links.Fault{})
+		}
+		return
+	}
+	line := &faultLine{step: s, ways: map[*links.Way]int64{}}
+	for _, w := range ways {
+		if p.how.Idle {
+			w.Idle()
+		}
+		f, _, _ := w.Fault()
+		d.set(&f)
+		line.ways[w] = w.Acted()
+		w.Set(f)
+	}
+	p.faults = append(p.faults, line)
+}
+
+// endFaults counts what faults have done on ways that are healed, or on all.
+func (p *player) endFaults(healed []*links.Way) {
+	for _, f := range p.faults {
+		for w, before := range f.ways {
+			if healed == nil || slices.Contains(healed, w) {
+				f.acted += w.Acted() - before
+				delete(f.ways, w)
+			}
+		}
+	}
+}
+
+// verdict holds all that was expected against the records.
+func (p *player) verdict(v *Verdict, r *Records, err error) {
+	v.Txns = len(r.Txns)
+	var stopped errStep
+	if errors.As(err, &stopped) {
+		v.Lines = append(v.Lines, Line{stopped.step.Line, stopped.step.Text, false, stopped.seen})
+	} else if err != nil {
+		v.Error = err.Error()
+	}
+	for _, f := range p.faults {
+		v.Lines = append(v.Lines, Line{f.step.Line, f.step.Text, f.acted > 0 || err != nil, fmt.Sprintf("it touched %d things", f.acted)})
+	}
+	if err == nil {
+		for _, e := range p.night.Expects {
+			in := span{p.zero(), r.End}
+			if e.From != nil {
+				in.from = p.moment(*e.From)
+			}
+			if e.To != nil {
+				in.to = p.moment(*e.To)
+			}
+			ok, seen := e.against(r, p.chosen(e.what.Of), in)
+			v.Lines = append(v.Lines, Line{e.Line, e.Text, ok, seen})
+		}
+	}
+	if n := p.crowd.lost.Load(); n > 0 {
+		v.Error = strings.TrimSpace(v.Error + fmt.Sprintf(" %s: the clients had no place for %d txns: the load is more than they can play", p.night.File, n))
+	}
+	for _, b := range Judge(r) {
+		v.Breaches = append(v.Breaches, b.String())
+	}
+}
+
+func (p *player) moment(t Time) links.Micros {
+	if t.Mark == "" {
+		return p.zero() + micros(t.Plus)
+	}
+	return p.marks[t.Mark] + micros(t.Plus)
+}
+
+// awaitFarEnds gives the far ends time to read what relays have delivered.
+func (p *player) awaitFarEnds() {
+	for end := time.Now().Add(2 * time.Second); len(p.differ()) > 0 && time.Now().Before(end); {
+		time.Sleep(look)
+	}
+}
