A submission or vote that was given up no longer runs seconds later: its connection is reset

At fault: appliance.go drop, and the transports of newClient and onceClient, which close. sockets/owing.go: a connection on which something is unanswered ends with a reset, which takes back what has not arrived. Checked and dropped: a shorter time-out (the bytes are the system's by then), marks of time in the request (X-Deadline-Ms is relative).

TestGivenUpIsReset fails without.

--- a/sockets/appliance.go
+++ b/sockets/appliance.go
@@ -1,6 +1,7 @@
 package sockets
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -230,7 +231,7 @@
 	a.core.done.dials.Add(1)
 	addr := a.addr
 	go func() {
-		nc, err := a.pool.dial.Dial("tcp", addr)
+		nc, err := dialOwing(context.Background(), &a.pool.dial, addr)
 		if err != nil {
 			a.pool.purse.give(0, 1)
 			a.box.put(dialed{job: j, err: err})
--- a/sockets/core_test.go
+++ b/sockets/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -570,3 +572,58 @@
 		t.Errorf("%d calls in 1.2 s", n)
 	}
 }
+
+// A submission or a vote that was given up is taken back from the system too: its connection ends with a reset, so that nothing of it
+// is still sent. One that was answered ends as usual.
+func TestGivenUpIsReset(t *testing.T) {
+	ended := make(chan error, 8)
+	l := listen(t)
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				b := make([]byte, 4096)
+				if _, err := c.Read(b); err != nil {
+					ended <- err
+					return
+				}
+				if n == 0 {
+					io.WriteString(c, ok("done"))
+				}
+				_, err := io.Copy(io.Discard, c)
+				ended <- err
+			}()
+		}
+	}()
+	dialer := &net.Dialer{}
+	for n, want := range []error{nil, syscall.ECONNRESET} {
+		c, err := dialOwing(t.Context(), dialer, l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, "GET /lookup HTTP/1.1\r\n\r\n")
+		if n == 0 {
+			io.ReadFull(c, make([]byte, len(ok("done"))))
+		}
+		c.Close()
+		if err = <-ended; !errors.Is(err, want) {
+			t.Errorf("connection %d ended with %v, want %v", n, err, want)
+		}
+	}
+	// The launcher's calls, dated or not, and an appliance's submissions go over such connections.
+	d := &net.Dialer{Timeout: time.Second}
+	for name, client := range map[string]*http.Client{"vote": newClient(d.Timeout), "dated vote": onceClient(d.Timeout)} {
+		ctx, stop := context.WithTimeout(context.WithValue(t.Context(), beforeKey{}, time.Now().Add(patience)), 200*time.Millisecond)
+		req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+l.Addr().String()+"/api/", strings.NewReader("image=1"))
+		if _, err := client.Do(req); err == nil {
+			t.Errorf("%s: answered", name)
+		}
+		stop()
+		if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%s: its connection ended with %v", name, err)
+		}
+	}
+}
--- a/sockets/launcher.go
+++ b/sockets/launcher.go
@@ -301,8 +301,8 @@
 
 func onceClient(dial time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: dial}
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, address)
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		c, err := dialOwing(ctx, dialer, address)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/sockets/owing.go
@@ -0,0 +1,59 @@
+package sockets
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// This file owns how a connection ends on which something is unanswered. It must never end one by itself.
+
+// owing is a connection that is reset where it ends before what was written has an answer's first byte. Closed, the system would go
+// on sending the rest by itself for a quarter of an hour: a posting or a vote that was given up came out of a way that had dropped
+// everything, seconds or minutes later, when nobody remembered it any more. It also catches what a full window holds back. It may
+// harm where the other side reads slowly: what it has not read by then it never sees, which a call that was given up may suffer.
+type owing struct {
+	tcp  *net.TCPConn
+	owed atomic.Bool
+}
+
+func (c *owing) Read(b []byte) (int, error) {
+	n, err := c.tcp.Read(b)
+	if n > 0 {
+		c.owed.Store(false)
+	}
+	return n, err
+}
+
+func (c *owing) Write(b []byte) (int, error) {
+	c.owed.Store(true)
+	return c.tcp.Write(b)
+}
+
+func (c *owing) Close() error {
+	if c.owed.Load() {
+		c.tcp.SetLinger(0)
+	}
+	return c.tcp.Close()
+}
+
+func (c *owing) LocalAddr() net.Addr                   { return c.tcp.LocalAddr() }
+func (c *owing) RemoteAddr() net.Addr                  { return c.tcp.RemoteAddr() }
+func (c *owing) SetDeadline(t time.Time) error         { return c.tcp.SetDeadline(t) }
+func (c *owing) SetReadDeadline(t time.Time) error     { return c.tcp.SetReadDeadline(t) }
+func (c *owing) SetWriteDeadline(t time.Time) error    { return c.tcp.SetWriteDeadline(t) }
+func (c *owing) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
+
+// dialOwing dials one.
+func dialOwing(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, is := c.(*net.TCPConn); is {
+		return &owing{tcp: tcp}, nil
+	}
+	return c, nil
+}
--- a/sockets/roster.go
+++ b/sockets/roster.go
@@ -124,7 +124,10 @@
 // newClient is for discovery and the launcher: streams, and calls so rare that a connection each leaves none to go
 // stale. It follows no one elsewhere, and takes no more of a head than it should.
 func newClient(dial time.Duration) *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dial}).DialContext,
+	dialer := &net.Dialer{Timeout: dial}
+	return &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return dialOwing(ctx, dialer, address)
+	},
 		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: headLimit},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
