--- a/rehearsal/standin/agent.go
+++ b/rehearsal/standin/agent.go
@@ -24,16 +24,11 @@
 
 // Start writes the agent's files into a folder, starts the program and waits until it serves.
 func (w *World) Start(program, dir, operator string, build, memoryMB int, log io.Writer) (*Agent, error) {
-	return w.StartAs(0, 1, program, dir, operator, build, memoryMB, log)
-}
-
-// StartAs starts one of several agents.
-func (w *World) StartAs(me, agents int, program, dir, operator string, build, memoryMB int, log io.Writer) (*Agent, error) {
 	listen, err := Free()
 	if err != nil {
 		return nil, err
 	}
-	return Launch(program, dir, w.config(listen, me, agents, build, memoryMB), operator, listen, log)
+	return Launch(program, dir, w.config(listen, build, memoryMB), operator, listen, log)
 }
 
 // Launch starts the program with these files in a folder, and waits until it serves.
--- a/rehearsal/standin/world.go
+++ b/rehearsal/standin/world.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -20,30 +19,6 @@
 	Shares              []float64
 	SLA, Expiry         time.Duration
 	news                string
-	log                 []CastVote
-	silent              bool
-	Peers               []string // the agents' addresses for datagrams; none: they may say nothing to each other
-}
-
-// CastVote is a vote as the launcher got it.
-type CastVote struct {
-	At           time.Time
-	Build, Stage int
-	Opinion      string
-}
-
-// Log is all votes so far.
-func (w *World) Log() []CastVote {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]CastVote(nil), w.log...)
-}
-
-// Silence has the launcher take votes and answer none, or answer again.
-func (w *World) Silence(on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.silent = on
 }
 
 // NewWorld starts discovery and launcher, with a build that has long been released.
@@ -71,12 +46,6 @@
 				return "400|<Error><Code>ValidationError</Code></Error>"
 			}
 			w.votes[v.Get("opinion")]++
-			build, _ := strconv.Atoi(v.Get("image"))
-			stage, _ := strconv.Atoi(v.Get("ring"))
-			w.log = append(w.log, CastVote{time.Now(), build, stage, v.Get("opinion")})
-			if w.silent {
-				return NoAnswer
-			}
 			return "400|<Error><Code>ConditionFailed</Code></Error>"
 		}
 		return w.news
@@ -145,12 +114,9 @@
 }
 
 // config is an agent's file for this world.
-func (w *World) config(listen string, me, agents, build, memoryMB int) string {
-	t := Told{Me: me, Agents: agents, Listen: listen, Discovery: w.Discovery.Addr(), Launcher: w.Launcher.Addr(), Build: build, MemoryMB: memoryMB,
-		Tenants: w.Tenants, Shares: w.Shares, SLA: w.SLA, Expiry: w.Expiry, Peers: w.Peers}
-	if len(w.Peers) > 0 {
-		t.PeerListen = w.Peers[me]
-	}
+func (w *World) config(listen string, build, memoryMB int) string {
+	t := Told{Agents: 1, Listen: listen, Discovery: w.Discovery.Addr(), Launcher: w.Launcher.Addr(), Build: build, MemoryMB: memoryMB,
+		Tenants: w.Tenants, Shares: w.Shares, SLA: w.SLA, Expiry: w.Expiry}
 	w.mu.Lock()
 	t.Known = w.line()
 	w.mu.Unlock()
--- a/rehearsal/trial/measure.go
+++ b/rehearsal/trial/measure.go
@@ -41,6 +41,22 @@
 			return 0, "no txn was offered", false
 		}
 		return float64(n) / float64(all), fmt.Sprintf("%.4f (%d of %d txns)", float64(n)/float64(all), n, all), true
+	case "median", "p99":
+		var took []float64 // ms from a txn's first try to the last byte of its answer
+		for _, t := range r.Txns {
+			if in.has(t.Came) && of(t.Agent) && t.Fate == settled {
+				took = append(took, float64(t.Tries[len(t.Tries)-1].Ended-t.Came)/1000)
+			}
+		}
+		if len(took) == 0 {
+			return 0, "nothing was settled", false
+		}
+		slices.Sort(took)
+		at := len(took) / 2
+		if m.Name == "p99" {
+			at = len(took) * 99 / 100
+		}
+		return took[at], fmt.Sprintf("%.3f ms (of %d answers)", took[at], len(took)), true
 	case "votes":
 		n := 0
 		for _, v := range r.Votes {
--- a/rehearsal/trial/nights_test.go
+++ b/rehearsal/trial/nights_test.go
@@ -193,6 +193,7 @@
 0s load 25 posting=0.3
 5s load 0
 expect in-time >= 0.98
+expect median <= 100
 expect offered >= 1500
 `
 	inTime := map[bool]float64{}
@@ -210,8 +211,8 @@
 		share := 0.0
 		fmt.Sscanf(v.Lines[0].Seen, "%f", &share)
 		inTime[direct] = share
+		t.Logf("direct %t: %s; %s", direct, v.Lines[0].Seen, v.Lines[1].Seen)
 	}
-	t.Logf("in time %.4f without relays, %.4f with them", inTime[true], inTime[false])
 	if math.Abs(inTime[true]-inTime[false]) > 0.005 {
 		t.Errorf("in time %.4f without relays, %.4f with them", inTime[true], inTime[false])
 	}
