Trial rig: cold appliances are played, and a rule judges that none is pushed over

An appliance that joins begins with 0.3 of its speed and is warm after 3 s; discovery tells when it began; coldSpared holds all agents' arrivals in 1.5 s against twice what it can do.

TestRulesFind gives the rule records that break it.

--- a/rehearsal/standin/appliance.go
+++ b/rehearsal/standin/appliance.go
@@ -30,6 +30,28 @@
 	mu     sync.Mutex
 	chance *rand.Rand
 	seen   Witness
+	cold   atomic.Pointer[warmUp]
+}
+
+// warmUp is how an appliance begins: with a part of its speed, which rises evenly.
+type warmUp struct {
+	since time.Time
+	from  float64
+	span  time.Duration
+}
+
+// Begins has the appliance start now, with a part of its speed that is whole after a span.
+func (a *Appliance) Begins(from float64, span time.Duration) {
+	a.cold.Store(&warmUp{time.Now(), from, span})
+}
+
+// speed is the part of its speed that it has now.
+func (a *Appliance) speed() float64 {
+	c := a.cold.Load()
+	if c == nil {
+		return 1
+	}
+	return min(1, c.from+(1-c.from)*float64(time.Since(c.since))/float64(c.span))
 }
 
 // Witness sees what comes to an appliance; its calls come from several goroutines.
@@ -88,7 +110,7 @@
 		a.mu.Lock()
 		took, luck := a.chance.ExpFloat64(), a.chance.Int63n(1000)
 		a.mu.Unlock()
-		time.Sleep(time.Duration(took * float64(a.work) * float64(a.slow.Load()) / 1000))
+		time.Sleep(time.Duration(took * float64(a.work) * float64(a.slow.Load()) / 1000 / a.speed()))
 		if luck < a.fails.Load() {
 			<-a.slots
 			w.WriteHeader(http.StatusInternalServerError)
--- a/rehearsal/standin/protocol.go
+++ b/rehearsal/standin/protocol.go
@@ -249,10 +249,13 @@
 
 func (s *Streamer) Addr() string { return s.Listener.Addr().String() }
 
-// Host is a row of the list, as discovery writes it.
-func Host(name, dial, health string, build int) string {
-	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"suva","class":"m","block":1,"health":%q,"share":1.0,"born_ms":0,"build":%d}`,
-		name, dial, health, build)
+// Host is a row of the list, as discovery writes it, of an appliance that has long been up.
+func Host(name, dial, health string, build int) string { return HostBorn(name, dial, health, build, 0) }
+
+// HostBorn is one of an appliance that started at a time, in Unix milliseconds.
+func HostBorn(name, dial, health string, build int, born int64) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"suva","class":"m","block":1,"health":%q,"share":1.0,"born_ms":%d,"build":%d}`,
+		name, dial, health, born, build)
 }
 
 // Line is a line of the list.
--- a/rehearsal/standin/told.go
+++ b/rehearsal/standin/told.go
@@ -24,6 +24,9 @@
 	VoteStands, CallWithin, DrainGrace, CapWindow = 4 * time.Second, 800 * time.Millisecond, time.Second, 4 * time.Second
 	GroupMemory, AnswerGrace                      = 8 * time.Second, 20 * time.Millisecond
 	CapFree                                       = 3
+	// A cold appliance begins with ColdFrom of its speed and is warm after ColdFor; sent TipMultiple of what it can do for TipAfter, it falls over.
+	ColdFrom, TipMultiple = 0.3, 2.0
+	ColdFor, TipAfter     = 3 * time.Second, 1500 * time.Millisecond
 )
 
 // NewsJSON is where a build stands, as a configuration has it.
@@ -60,11 +63,11 @@
 {"Name":"posting","Repeat":"idempotency_key","KeyScope":"all","WindowMs":%d,"SloMs":%g,"HardLimitMs":%g,"Worth":5.0}%s],
 "Parties":[%s],"Feedback":{"How":"off"},"FamilyInfo":{"StageCap":[0.2,0.6,1.0],"StageShare":[0.1,0.4,1.0],"Shielded":1,
 "Swap":"beside","VoteStandsMs":%d,"CallTimeoutMs":%d,"ApiRate":50.0,"VoteMode":"any","VotesToGo":1,"NoesNeeded":1,
-"CountedOverMs":%d,"Allowance":%d,"CountedBy":"all"},"Safety":{"ColdFrom":0.3,"ColdMs":3000.0,"TipMultiple":2.0,
-"TipAfterMs":1500.0,"DrainGraceMs":%d,"GraceToAnswerMs":%d},"Limits":{"MaxAttempts":3,"DialTimeoutMs":250.0,
+"CountedOverMs":%d,"Allowance":%d,"CountedBy":"all"},"Safety":{"ColdFrom":%g,"ColdMs":%d,"TipMultiple":%g,
+"TipAfterMs":%d,"DrainGraceMs":%d,"GraceToAnswerMs":%d},"Limits":{"MaxAttempts":3,"DialTimeoutMs":250.0,
 "ConnIdleMs":30000.0,"RetryAfter":true,"MaxRetryAfterMs":2000.0,"OpenCap":1000,"Probes":true,"MayTell":%t}}}`,
 		t.Me, circle, t.Listen, t.Discovery, uint64(0x8c1f30d27a5be964)+uint64(t.Me)*0x9e3779b97f4a7c15, t.MemoryMB, t.Launcher, news, strings.TrimSpace(t.Known),
 		t.Me, t.Agents, sla, expiry, GroupMemory.Milliseconds(), sla, expiry, once, strings.Join(parties, ","),
 		VoteStands.Milliseconds(), CallWithin.Milliseconds(), CapWindow.Milliseconds(), CapFree,
-		DrainGrace.Milliseconds(), AnswerGrace.Milliseconds(), circle != "")
+		ColdFrom, ColdFor.Milliseconds(), TipMultiple, TipAfter.Milliseconds(), DrainGrace.Milliseconds(), AnswerGrace.Milliseconds(), circle != "")
 }
--- a/rehearsal/trial/account.go
+++ b/rehearsal/trial/account.go
@@ -56,7 +56,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out.Boxes = len(r.boxes)
+	out.Born, out.Slots, out.Work = slices.Clone(r.born), r.night.Slots, micros(r.night.Work)
 	for _, a := range r.agents {
 		lives := slices.Clone(a.lives)
 		for i := range lives {
--- a/rehearsal/trial/places.go
+++ b/rehearsal/trial/places.go
@@ -195,6 +195,7 @@
 	Box    int
 	Health string // active, leaving; left: not in the list any more
 	Build  int
+	Born   int64 // Unix ms; 0: long ago
 }
 
 // catalog is discovery.
@@ -255,7 +256,7 @@
 	var rows []string
 	for _, r := range c.rows(serial) {
 		if r.Health != "left" {
-			rows = append(rows, standin.Host(boxName(r.Box), c.address(who, r.Box), r.Health, r.Build))
+			rows = append(rows, standin.HostBorn(boxName(r.Box), c.address(who, r.Box), r.Health, r.Build, r.Born))
 		}
 	}
 	return standin.Line(serial+1, true, rows...)
--- a/rehearsal/trial/play.go
+++ b/rehearsal/trial/play.go
@@ -236,7 +236,7 @@
 			return rows
 		})
 	case add:
-		return p.addBoxes(d.many, d.build)
+		return p.addBoxes(d.many, d.build, true)
 	case work:
 		for _, i := range p.those(d.boxes) {
 			p.boxes[i].Slow(d.times)
--- a/rehearsal/trial/rig.go
+++ b/rehearsal/trial/rig.go
@@ -38,6 +38,7 @@
 
 	mu     sync.Mutex
 	boxes  []*standin.Appliance
+	born   []links.Micros    // when each began, cold; -1: long ago
 	toBox  [][]*links.Stream // agent, box
 	peers  [][]*links.Stream // from, to; nil where agents don't speak over TCP
 	toList [][]*links.Stream // agent; the one in force is the last
@@ -130,7 +131,7 @@
 			r.peers[i] = append(r.peers[i], s)
 		}
 	}
-	if err = r.addBoxes(n.Appliances, n.Build); err != nil {
+	if err = r.addBoxes(n.Appliances, n.Build, false); err != nil {
 		return r, err
 	}
 	r.crowd = newCrowd(r.now, urls, r.living)
@@ -184,8 +185,8 @@
 	return r.toBox[agent][box].Addr()
 }
 
-// addBoxes starts appliances of a build and lists them.
-func (r *Rig) addBoxes(many, build int) error {
+// addBoxes starts appliances of a build, cold or long warm, and lists them.
+func (r *Rig) addBoxes(many, build int, cold bool) error {
 	var rows []Row
 	for range many {
 		l, err := listen()
@@ -214,7 +215,15 @@
 			r.toBox[i] = append(r.toBox[i], s)
 		}
 		r.mu.Unlock()
-		rows = append(rows, Row{n, "active", build})
+		row, born := Row{n, "active", build, 0}, links.Micros(-1)
+		if cold {
+			box.Begins(standin.ColdFrom, standin.ColdFor)
+			row.Born, born = time.Now().UnixMilli(), r.now()
+		}
+		r.mu.Lock()
+		r.born = append(r.born, born)
+		r.mu.Unlock()
+		rows = append(rows, row)
 	}
 	r.list.change(func(old []Row) []Row { return append(old, rows...) })
 	return nil
--- a/rehearsal/trial/rules.go
+++ b/rehearsal/trial/rules.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -17,8 +18,10 @@
 	Agents    int
 	End       links.Micros
 	Txns      []Txn
-	Surplus   int // connections with bytes behind a whole answer
-	Boxes     int
+	Surplus   int            // connections with bytes behind a whole answer
+	Born      []links.Micros // of each appliance; -1: long ago
+	Slots     int            // txns that an appliance works on at a time, and how long each takes when it is warm
+	Work      links.Micros
 	Calls     map[string][]Call // by place
 	Datagrams []int64           // delivered, by sender
 	Arrivals  []Arrival
@@ -73,7 +76,7 @@
 
 // Judge finds what was broken.
 func Judge(r *Records) (out []Breach) {
-	for _, rule := range []func(*Records) []Breach{oneAnswer, noEffectTwice, drainsKept, underCap, noContraryVotes} {
+	for _, rule := range []func(*Records) []Breach{oneAnswer, noEffectTwice, drainsKept, coldSpared, underCap, noContraryVotes} {
 		found := rule(r)
 		slices.SortFunc(found, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
 		if len(found) > breachesMost {
@@ -216,6 +219,40 @@
 	return out
 }
 
+// coldSlack is left to chance, in standard deviations of the number that comes.
+const coldSlack = 3
+
+// coldSpared: no appliance that has just begun is sent, by all agents together, more than the told multiple of what it can do for
+// the told time. What it can do in a span is its slots' time, by the part of its speed that it has.
+func coldSpared(r *Records) (out []Breach) {
+	window, span := standin.TipAfter.Microseconds(), standin.ColdFor.Microseconds()
+	speed := func(age links.Micros) float64 {
+		return min(1, standin.ColdFrom+(1-standin.ColdFrom)*float64(max(0, age))/float64(span))
+	}
+	times := map[int][]links.Micros{}
+	for _, a := range r.Arrivals {
+		if a.Box < len(r.Born) && r.Born[a.Box] >= 0 && a.At < r.Born[a.Box]+span+window {
+			times[a.Box] = append(times[a.Box], a.At)
+		}
+	}
+	for box, born := range r.Born {
+		at := times[box]
+		slices.Sort(at)
+		for i := range at {
+			from := at[i] - window
+			many := after(at, at[i]) - after(at, from)
+			begins, ends := speed(from-born), speed(at[i]-born)
+			can := (begins + ends) / 2 * float64(window) * float64(r.Slots) / float64(r.Work) // its speed rises evenly
+			if most := standin.TipMultiple * can; float64(many) > most+coldSlack*math.Sqrt(most) {
+				out = append(out, Breach{"cold spared", at[i], fmt.Sprintf("appliance %d, %.3f s old, was sent %d txns in %v; it can do %.1f, and bears %.1f",
+					box, float64(at[i]-born)/1e6, many, standin.TipAfter, can, most)})
+				break
+			}
+		}
+	}
+	return out
+}
+
 // underCap: in any window, an agent's submissions at a build on trial are at most the free ones and the cap's part of the txns
 // that it took. A later build than the news tell of counts as in stage 0; a lower cap binds after the grace, and the count
 // begins anew; what is released has no cap.
--- a/rehearsal/trial/rules_test.go
+++ b/rehearsal/trial/rules_test.go
@@ -11,9 +11,9 @@
 
 // sound are records in which every rule is kept, with something for each rule to look at.
 func sound() *Records {
-	r := &Records{Agents: 2, End: 20 * s, Decider: true,
+	r := &Records{Agents: 2, End: 20 * s, Decider: true, Born: []links.Micros{s, -1}, Slots: 2, Work: s / 100,
 		Stages:  []Stage{{7, 2, "live", 1, 0}, {8, 0, "testing", 0.2, 0}, {8, 0, "recalling", 0, 0}},
-		Lists:   [][]Row{{{0, "active", 7}, {1, "active", 8}}, {{0, "leaving", 7}, {1, "active", 8}}},
+		Lists:   [][]Row{{{0, "active", 7, 0}, {1, "active", 8, 0}}, {{0, "leaving", 7, 0}, {1, "active", 8, 0}}},
 		Lives:   [][]Life{{{From: 0, To: -1, Left: -1}}, {{From: 0, To: 9 * s, Left: -1}}},
 		HadList: [][]Had{{{0, 0}, {5 * s, 1}}, {{0, 0}}}, HadNews: [][]Had{{{0, 0}, {2 * s, 1}, {10 * s, 2}}, {{0, 0}, {2 * s, 1}}},
 		Votes: []Vote{{3 * s, 0, 8, 0, "on"}, {8 * s, 1, 8, 0, "back"}, {8 * s, 1, 8, 1, "on"}}}
@@ -68,6 +68,17 @@
 			r.arrives(0, 0, 7*s, inquiry, "")
 		}},
 		{"something new after the grace by one who was never told", "", func(r *Records) { r.arrives(1, 0, 8*s, inquiry, "") }},
+		{"a cold appliance that is sent too much", "cold spared", func(r *Records) {
+			for i := range links.Micros(400) {
+				r.arrives(int(i)%2, 0, s+i*s/400, inquiry, "")
+			}
+		}},
+		{"the same once it is warm", "", func(r *Records) {
+			r.Born[0] = -1
+			for i := range links.Micros(400) {
+				r.arrives(int(i)%2, 0, s+i*s/400, inquiry, "")
+			}
+		}},
 		{"too much on trial", "exposure", func(r *Records) {
 			for i := range links.Micros(10) {
 				r.arrives(0, 1, 3*s+i, inquiry, "")
