Trial rig: a killed agent's connection did not cross a request; clients do not send it again

Where the agent's process was killed the request may have been read: the client gives it up as lost. The agents were not at fault.

--- a/rehearsal/trial/rig.go
+++ b/rehearsal/trial/rig.go
@@ -134,7 +134,7 @@
 	if err = r.addBoxes(n.Appliances, n.Build, false); err != nil {
 		return r, err
 	}
-	r.crowd = newCrowd(r.now, urls, r.living)
+	r.crowd = newCrowd(r.now, urls, r.living, r.killed)
 	failed := make(chan error, n.Agents)
 	for _, a := range r.agents {
 		if a.operator = r.orders(a); slices.Contains(n.Late, a.number) {
@@ -343,6 +343,14 @@
 	return out
 }
 
+// killed tells whether an agent's newest process is over.
+func (r *Rig) killed(agent int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.agents[agent].lives)
+	return n == 0 || r.agents[agent].lives[n-1].To >= 0
+}
+
 func (r *Rig) note(who, form string, what ...any) {
 	m := Moment{r.now(), who, fmt.Sprintf(form, what...)}
 	r.mu.Lock()
