switchlab trial builds the versions that a night starts and nobody named

Need: the README's command over all nights ended with wrong use, as reload.txt starts another version.

--- a/cmd/switchlab/trial.go
+++ b/cmd/switchlab/trial.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/term"
 
+	"switchfork/rehearsal/standin"
 	"switchfork/rehearsal/trial"
 )
 
@@ -49,7 +50,7 @@
 	c.Flags().StringVar(&how.Keep, "keep", "", "a folder for every night's logs, time line and records; without it they are kept where a night fails")
 	c.Flags().IntVar(&how.Agents, "agents", 0, "how many agents; 0: each night's own")
 	c.Flags().StringVar(&agent, "agent", "", "the agent's program; built anew where none is named")
-	c.Flags().StringArrayVar(&named, "program", nil, "NAME=PATH, another version of the program, for nights that start one")
+	c.Flags().StringArrayVar(&named, "program", nil, "NAME=PATH, another version of the program, for nights that start one; built anew under that version where none is named")
 	c.Flags().BoolVar(&how.Idle, "idle", false, "relays do nothing: each night with a fault should then fail")
 	c.Flags().BoolVar(&how.Direct, "direct", false, "no relays at all, for the measure of what they cost: faults on ways are then impossible")
 	return c
@@ -58,9 +59,15 @@
 func trials(out io.Writer, files []string, agent string, how trial.Playing) error {
 	var nights []*trial.Night
 	var faulty []error
+	var others []string // versions that none was named for: the same program under another version's name
 	for _, f := range files {
 		n, err := trial.ReadNight(f)
 		if err == nil {
+			for _, name := range n.Programs() {
+				if how.Programs[name] == "" {
+					how.Programs[name], others = name, append(others, name)
+				}
+			}
 			err = n.Playable(how)
 		}
 		if err != nil {
@@ -79,6 +86,11 @@
 	if how.Programs[""], err = agentProgram(dir, agent); err != nil {
 		return err
 	}
+	for _, name := range others {
+		if how.Programs[name], err = standin.BuildAgent(dir, "other-"+name, "-ldflags", "-X main.version="+name); err != nil {
+			return err
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	live := term.IsTerminal(int(os.Stderr.Fd()))
--- a/rehearsal/trial/reader.go
+++ b/rehearsal/trial/reader.go
@@ -254,7 +254,9 @@
 	case "stop", "go", "kill", "term", "start", "restart":
 		s := signal{verb: w, who: r.who(r.word(whoForm))}
 		s.fresh = r.next("fresh")
-		s.program, _ = r.option("program")
+		if s.program, _ = r.option("program"); strings.ContainsAny(s.program, "/\\. ") {
+			r.fail("the program is %q, expected a name, without a path", s.program)
+		}
 		return s
 	case "reload":
 		l := reload{who: r.who(r.word(whoForm)), what: r.word("operator, peer, discovery, launcher or spoilt")}
@@ -443,6 +445,16 @@
 	}
 }
 
+// Programs are the names of other versions that the night starts.
+func (n *Night) Programs() (names []string) {
+	for _, s := range n.Steps {
+		if d, is := s.Do.(signal); is && d.program != firstProgram && !slices.Contains(names, d.program) {
+			names = append(names, d.program)
+		}
+	}
+	return names
+}
+
 // Playable tells what of a night can't be played in this way.
 func (n *Night) Playable(how Playing) error {
 	var errs []error
--- a/rehearsal/trial/rules_test.go
+++ b/rehearsal/trial/rules_test.go
@@ -156,6 +156,7 @@
 		"0s start agent:0 program=other twice":       "left over",
 		"operator door on\n0s launcher shouts":       "expected silent or answers",
 		"0s trickle 0 agents -> appliances":          "from 1",
+		"0s start agent:0 program=../x":              "without a path",
 		"0s work 2 machines":                         "names no appliances",
 		"0s lose 2 agents <-> agents":                "from 0 to 1",
 		"0s mark a\nexpect settled >= 1 from a+soon": "expected a time",
