After a standstill nothing old is written: unread lists are waited for, old submissions chosen again

Change: after the moment, as long as something has come in on the streams that is not handed on (a look into the socket, and whether its reader waits) and until roster and launcher have answered, at most half a second. Right before a submission's write, one older than a connection's time and a quarter second since the module was asked is not sent, and the module routes it again. What is left is the gap between that look and the system's call.

Checked and dropped: a late launcher or relay (the list was at the agent 2.8 s before), the module (its word binds at once). TestUnreadListFirstAfterStall, TestOldSubmissionIsNotWritten fail without.

--- a/sockets/appliance.go
+++ b/sockets/appliance.go
@@ -111,8 +111,10 @@
 
 // still tells whether nothing has come in on a connection at rest: neither its end nor anything behind the last
 // answer, which would be taken for the next one's.
-func (c *conn) still() (still bool) {
-	sc, is := c.Conn.(syscall.Conn)
+func (c *conn) still() bool { return nothingCame(c.Conn) }
+
+func nothingCame(c any) (still bool) {
+	sc, is := c.(syscall.Conn)
 	if !is {
 		return false
 	}
@@ -231,7 +233,7 @@
 	a.core.done.dials.Add(1)
 	addr := a.addr
 	go func() {
-		nc, err := dialOwing(context.Background(), &a.pool.dial, addr)
+		nc, err := dialOwing(context.Background(), &a.pool.dial, addr, nil)
 		if err != nil {
 			a.pool.purse.give(0, 1)
 			a.box.put(dialed{job: j, err: err})
@@ -266,9 +268,16 @@
 const writeAtOnce = 8 << 10
 
 func (a *appliance) write(c *conn, j *job) {
-	c.job, j.on, j.sent, j.cut = j, c, false, Settled
-	c.ask <- struct{}{} // an answer that comes before the last byte is written is read too
 	raw := j.parcel.bytes(time.Until(j.until))
+	c.ask <- struct{}{} // an answer that comes before the last byte is written is read too
+	c.job, j.on, j.sent, j.cut = j, c, false, Settled
+	// A process may have stood still since the module chose this appliance, and the list may say otherwise by now: what is older than
+	// a connection takes to come up, and than a standstill that is no longer noticed, is chosen again. It may cost a txn that waited
+	// on a starved core another turn.
+	if time.Since(j.at) > a.pool.dial.Timeout+stalled {
+		a.finish(j, NotSent, nil)
+		return
+	}
 	if len(raw) <= writeAtOnce {
 		_, err := c.Write(raw)
 		a.wrote(wrote{j, c, err})
--- a/sockets/core.go
+++ b/sockets/core.go
@@ -114,7 +114,11 @@
 	box        *mailbox[any]
 	urgent     *mailbox[any] // news and list changes are not kept waiting
 	wakes      []brain.Wake  // by time
-	late       brain.Micros  // the bell that was last found to be late
+	asked      time.Time     // when the module was last asked
+	inflows    *inflows      // on which list and news come
+	mu         sync.Mutex
+	readers    []func(calledIn) // the actors that hand them on
+	late       brain.Micros     // the bell that was last found to be late
 	txns       map[uint64]*open
 	appliances map[uint32]*appliance
 	all        []*appliance // in the order of their coming
@@ -133,7 +137,7 @@
 
 // NewCore puts the module behind a mailbox. hire makes an appliance's actor; vote and tell carry orders on.
 func NewCore(module brain.Router, clock Clock) *Core {
-	return &Core{module: module, clock: clock, box: newMailbox[any](), urgent: newMailbox[any](),
+	return &Core{module: module, clock: clock, box: newMailbox[any](), urgent: newMailbox[any](), inflows: &inflows{open: map[*owing]bool{}},
 		txns: map[uint64]*open{}, appliances: map[uint32]*appliance{}}
 }
 
@@ -177,15 +181,43 @@
 }
 
 // A bell that is so late says that the process stood still. What the list and the launcher wrote meanwhile counts as
-// told, but may not have been read yet, while txns wait already: the readers get a moment first. It guards against
-// all that stops an agent (a frozen machine, a starved core); it costs a little where the core is merely full.
-const stalled, catchUp = 250 * time.Millisecond, 20 * time.Millisecond
+// told, but may not have been read yet, while txns wait already: the readers get a moment first, and longer while something that
+// has come in is not handed on: behind hundreds of txns on a full core a moment was not enough (the night still-over-drain, 4 of 20
+// plays). It guards against all that stops an agent (a frozen machine, a starved core); it costs a little where the core is merely full.
+const stalled, catchUp, catchUpMost = 250 * time.Millisecond, 20 * time.Millisecond, 500 * time.Millisecond
+
+// caughtUp names one more actor that hands the list or the news on.
+func (c *Core) caughtUp(ask func(calledIn)) {
+	c.mu.Lock()
+	c.readers = append(c.readers, ask)
+	c.mu.Unlock()
+}
+
+// catch waits until all that had come in is in the mailbox, a bounded time.
+func (c *Core) catch() {
+	time.Sleep(catchUp)
+	end := time.Now().Add(catchUpMost)
+	for c.inflows.behind() && time.Now().Before(end) {
+		time.Sleep(time.Millisecond)
+	}
+	c.mu.Lock()
+	readers := slices.Clone(c.readers)
+	c.mu.Unlock()
+	for _, ask := range readers {
+		done := make(chan struct{})
+		ask(calledIn{done})
+		select {
+		case <-done:
+		case <-time.After(time.Until(end)):
+		}
+	}
+}
 
 // first hands the list and the news on before anything else.
 func (c *Core) first() {
 	if len(c.wakes) > 0 && c.wakes[0].At != c.late && c.clock.now()-c.wakes[0].At > stalled.Microseconds() {
 		c.late = c.wakes[0].At
-		time.Sleep(catchUp)
+		c.catch()
 	}
 	for _, n := range c.urgent.take(nil) {
 		c.note(n)
@@ -310,6 +342,7 @@
 	if now == 0 {
 		now = c.clock.now()
 	}
+	c.asked = time.Now() // before: what comes of it is as old as what the module knew
 	for _, o := range c.module.Handle(now, ev) {
 		c.carryOut(o)
 	}
@@ -352,7 +385,7 @@
 // submit hands a submission on; one that cannot be sent at all ends at once.
 func (c *Core) submit(o brain.Submit) {
 	t, a := c.txns[o.ID], c.appliances[o.Appliance]
-	now := time.Now()
+	now := c.asked
 	if t == nil || t.over || t.out > 0 || a == nil {
 		slog.Error("submission that cannot be", "txn", o.ID, "appliance", o.Appliance)
 		c.box.put(ended{Ended: brain.Ended{ID: o.ID, Appliance: o.Appliance, Outcome: NotSent.outcome()}, ending: NotSent})
--- a/sockets/core_test.go
+++ b/sockets/core_test.go
@@ -355,6 +355,71 @@
 	}
 }
 
+// The readers get longer than a moment where something has come in that is not handed on yet.
+func TestUnreadListFirstAfterStall(t *testing.T) {
+	r := newRig(t, time.Second, "127.0.0.1:1", "127.0.0.1:1")
+	l := listen(t)
+	c, err := dialOwing(t.Context(), &net.Dialer{}, l.Addr().String(), r.core.inflows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	io.WriteString(far, "line")
+	r.mu.Lock()
+	r.do = func(ev brain.Event) []brain.Order {
+		if _, is := ev.(brain.Heard); !is {
+			return nil
+		}
+		r.core.box.put(brain.Probed{})
+		time.AfterFunc(8*catchUp, func() { // by then a moment is long over
+			r.roster.tell(roll{Seq: 1, Whole: true})
+			go io.Copy(io.Discard, c)
+		})
+		return []brain.Order{brain.Wake{At: r.core.clock.now() - 1e6}} // as if that time had passed
+	}
+	r.mu.Unlock()
+	r.core.box.put(brain.Heard{})
+	eventually(t, "three events", func() bool { r.mu.Lock(); defer r.mu.Unlock(); return len(r.events) >= 3 })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, is := r.events[1].(brain.Listed); !is {
+		t.Errorf("events came as %+v", r.events)
+	}
+	eventually(t, "a reader that has caught up", func() bool { return !r.core.inflows.behind() })
+}
+
+// A submission that the module ordered before a standstill is not written after it: it is chosen again.
+func TestOldSubmissionIsNotWritten(t *testing.T) {
+	b := newBox(t, answers(ok("done")))
+	r := newRig(t, 100*time.Millisecond, "127.0.0.1:1", "127.0.0.1:1")
+	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.Addr(), Site: "suva", Health: "active"}}})
+	if got := r.send(t, 1, posting, time.Second); got.settled == nil {
+		t.Fatalf("a fresh one got %+v", got)
+	}
+	r.core.Settle(r.ctx)
+	a := r.core.appliances[r.roster.number("box")]
+	now := time.Now()
+	for id, age := range map[uint64]time.Duration{2: 0, 3: time.Second} {
+		a.box.put(submission{id: id, parcel: posting, at: now.Add(-age), until: now.Add(patience)})
+		eventually(t, "its ending", func() bool {
+			for _, e := range seen[brain.Ended](r.script) {
+				if e.ID == id {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	if n := len(b.Got()); n != 2 {
+		t.Errorf("%d arrived, want the two fresh ones", n)
+	}
+}
+
 // A panic of the module is not hidden: the process ends with it.
 func TestModulePanics(t *testing.T) {
 	c := NewCore(&script{do: func(brain.Event) []brain.Order { panic("index out of range") }}, NewClock())
@@ -600,7 +665,7 @@
 	}()
 	dialer := &net.Dialer{}
 	for n, want := range []error{nil, syscall.ECONNRESET} {
-		c, err := dialOwing(t.Context(), dialer, l.Addr().String())
+		c, err := dialOwing(t.Context(), dialer, l.Addr().String(), nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -615,7 +680,7 @@
 	}
 	// The launcher's calls, dated or not, and an appliance's submissions go over such connections.
 	d := &net.Dialer{Timeout: time.Second}
-	for name, client := range map[string]*http.Client{"vote": newClient(d.Timeout), "dated vote": onceClient(d.Timeout)} {
+	for name, client := range map[string]*http.Client{"vote": newClient(d.Timeout, nil), "dated vote": onceClient(d.Timeout)} {
 		ctx, stop := context.WithTimeout(context.WithValue(t.Context(), beforeKey{}, time.Now().Add(patience)), 200*time.Millisecond)
 		req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+l.Addr().String()+"/api/", strings.NewReader("image=1"))
 		if _, err := client.Do(req); err == nil {
--- a/sockets/launcher.go
+++ b/sockets/launcher.go
@@ -58,7 +58,7 @@
 
 func NewLauncher(core *Core, address string, dial, patient time.Duration, seed int64) *Launcher {
 	return &Launcher{core: core, base: at(address), patient: patient, box: newMailbox[any](),
-		client: newClient(dial), once: onceClient(dial), again: pace.New(0, ^seed)}
+		client: newClient(dial, core.inflows), once: onceClient(dial), again: pace.New(0, ^seed)}
 }
 
 // Also names who else hears the news. It is to be called before Known and Serve.
@@ -96,6 +96,7 @@
 
 // Serve empties the mailbox until the end.
 func (l *Launcher) Serve(ctx context.Context) {
+	l.core.caughtUp(func(n calledIn) { l.box.put(n) })
 	tick := time.NewTicker(newsSign)
 	defer tick.Stop()
 	l.now = l.open(ctx, 0)
@@ -121,6 +122,8 @@
 		go l.call(ctx, l.base, n)
 	case Dated:
 		go l.dated(ctx, l.base, n)
+	case calledIn:
+		close(n.done)
 	case moved:
 		if l.base = n.base; l.next != nil {
 			l.next.stop()
@@ -302,7 +305,7 @@
 func onceClient(dial time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: dial}
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-		c, err := dialOwing(ctx, dialer, address)
+		c, err := dialOwing(ctx, dialer, address, nil)
 		if err != nil {
 			return nil, err
 		}
--- a/sockets/roster.go
+++ b/sockets/roster.go
@@ -57,7 +57,7 @@
 // NewRoster follows the list at an address. within is the told time in which an agent without a watch should ask, 0 where
 // none is told; agents is how many do so.
 func NewRoster(core *Core, address string, zones []string, dial, within time.Duration, agents int, seed int64) *Roster {
-	r := &Roster{core: core, zones: zones, within: within, agents: agents, seed: seed, client: newClient(dial), numbers: map[string]uint32{}, taken: map[uint32]string{},
+	r := &Roster{core: core, zones: zones, within: within, agents: agents, seed: seed, client: newClient(dial, core.inflows), numbers: map[string]uint32{}, taken: map[uint32]string{},
 		box: newMailbox[any]()}
 	r.now = r.at(address)
 	return r
@@ -74,6 +74,7 @@
 
 // Serve empties the mailbox until the end.
 func (r *Roster) Serve(ctx context.Context) {
+	r.core.caughtUp(func(n calledIn) { r.box.put(n) })
 	r.now.start(ctx)
 	for {
 		select {
@@ -91,6 +92,8 @@
 				if n.from == r.now {
 					r.tell(n.roll)
 				}
+			case calledIn:
+				close(n.done)
 			case string:
 				r.now.leave()
 				if r.next != nil {
@@ -123,10 +126,10 @@
 
 // newClient is for discovery and the launcher: streams, and calls so rare that a connection each leaves none to go
 // stale. It follows no one elsewhere, and takes no more of a head than it should.
-func newClient(dial time.Duration) *http.Client {
+func newClient(dial time.Duration, among *inflows) *http.Client {
 	dialer := &net.Dialer{Timeout: dial}
 	return &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-		return dialOwing(ctx, dialer, address)
+		return dialOwing(ctx, dialer, address, among)
 	},
 		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: headLimit},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
