Agents no longer number their txns alike: the n-th of each went to one appliance

Cause: where keys are not warm, the module places a txn on the ring, and in the slice, by its number. sockets/front.go counted from 1 in each agent (lastID.Add), so the n-th txn of all 279 agents had one spot and one fraction: hundreds that start together send each of their first txns to the same few appliances.

Changed: the count begins at a number drawn from the agent's seed.

--- a/cmd/switchfork/serve.go
+++ b/cmd/switchfork/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"math/rand"
 	"os"
 	"os/signal"
 	"runtime"
@@ -81,7 +82,8 @@
 	if err != nil {
 		return err
 	}
-	front := sockets.NewFront(core, names, effects, expiry, customers, lines.OpenCap, lines.HoldOff, purse)
+	front := sockets.NewFront(core, names, effects, expiry, customers, lines.OpenCap, lines.HoldOff, purse,
+		rand.New(rand.NewSource(int64(seed))).Uint64()>>12)
 	var gate *sockets.Gate
 	if orders.Door.On {
 		gate = sockets.NewGate(open(orders.Door, goods, stalls, customers, shares, lines, ration, purse, seed), clock, core)
--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -197,6 +197,32 @@
 	}
 }
 
+// Agents that start together do not send their first, second, n-th txns without a key to one and the same appliance.
+func TestAgentsAreNotInStep(t *testing.T) {
+	var hosts []string
+	for i := range 8 {
+		name := fmt.Sprintf("s-%d", i)
+		hosts = append(hosts, host(name, newBox(t, answers(ok(name))).Addr(), "active", 41))
+	}
+	const agents, txns = 3, 24
+	var went [agents][txns]string
+	for i := range agents {
+		a := launch(t, func(conf string) string { return strings.Replace(conf, "8c1f30d2", fmt.Sprintf("8c1f30d%d", i), 1) }, hosts...)
+		a.healthy(t)
+		for n := range txns {
+			went[i][n] = a.ask(t, "GET", "/lookup", "").body
+		}
+	}
+	for n, alike := 0, 0; n < txns; n++ {
+		if went[0][n] == went[1][n] && went[1][n] == went[2][n] {
+			alike++
+		}
+		if alike > txns/4 { // by chance one in 64
+			t.Fatalf("the agents' txns went the same way: %v", went)
+		}
+	}
+}
+
 func TestRequestsTurnedAway(t *testing.T) {
 	b := newBox(t, answers(ok("done")))
 	a := launch(t, nil, host("s-1", b.Addr(), "active", 41))
--- a/sockets/front.go
+++ b/sockets/front.go
@@ -85,11 +85,15 @@
 }
 
 // NewFront reads requests by the products' names, effects and expiries and the customers' names; most is
-// the number of txns that it may have open, holdOff the longest wait that clients follow.
+// the number of txns that it may have open, holdOff the longest wait that clients follow, first the number before its
+// first txn's. The module places a txn without a warm key by its number. Where all agents counted from one, the n-th txn of
+// each went to one and the same appliance, and hundreds that started together filled its queue. It must differ from agent
+// to agent and from start to start, and costs nothing.
 func NewFront(core *Core, names []string, effects []brain.Effect, expiry []time.Duration, customers []string,
-	most int, holdOff time.Duration, purse *Purse) *Front {
+	most int, holdOff time.Duration, purse *Purse, first uint64) *Front {
 	f := &Front{core: core, most: most, holdOff: holdOff.Microseconds(), purse: purse, count: &counter{names, effects, expiry, customers}}
 	f.ids.open = map[string]bool{}
+	f.lastID.Store(first)
 	quiet := log.New(grumble{}, "", 0)
 	proxy := &httputil.ReverseProxy{Transport: f, ErrorLog: quiet, ErrorHandler: f.failed,
 		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host }, BufferPool: &buffers{},
