A judge that has seen no calm takes it for a good one, and lets no release on in a jam

At 19.75 s the release goes from 40 to 100% while 23% are served in time; 89 cold appliances come and 72 warm ones drain in the middle of it. Cause: opinion() pauses a stage while share < shareDone*calmShare; calmShare is only set while no release is in hand, so that a judge started within one held 0 and never paused (brain/loop.go, New). Changed: until it has seen a calm it holds 1, all in time.

--- a/brain/loop.go
+++ b/brain/loop.go
@@ -374,7 +374,7 @@
 	g.fleet = &fleet{line: g.line, byID: map[uint32]*appliance{}, probes: may.Probe, cold: cold, sized: st.Sized,
 		points: ringPoints, salt: ringSalt, carries: 1, least: 1 / float64(st.Agents)} // one open of all agents together
 	g.judge = &judge{line: g.line, wave: wave{spoiled: map[int]bool{}, plan: plan}, fleet: g.fleet,
-		polling: polling, products: products, agents: st.Agents, me: st.Me, earlier: make([]sampled, len(products)), share: 1, calm: make([]float64, len(products)), calmSeen: make([]float64, len(products))}
+		polling: polling, products: products, agents: st.Agents, me: st.Me, earlier: make([]sampled, len(products)), share: 1, calmShare: 1, calm: make([]float64, len(products)), calmSeen: make([]float64, len(products))}
 	if may.Tell {
 		g.judge.seat(st)
 	}
