--- a/rehearsal/trial/expects.go
+++ b/rehearsal/trial/expects.go
@@ -8,7 +8,10 @@
 
 // This file owns how expectations and what waits wait for are read.
 
-// check reads MEASURE[:ARG] OP VALUE of= at= build=.
+// ofTxns are the measures that are counted by txn, and so by product.
+var ofTxns = []string{"settled", "in-time", "declined", "failed", "offered", "median", "p99"}
+
+// check reads MEASURE[:ARG] OP VALUE of= at= build= product=.
 func (r *reader) check(mayAsk bool) (c check) {
 	w := r.word("a measure")
 	c.what.Name, c.what.Arg, _ = strings.Cut(w, ":")
@@ -45,6 +48,13 @@
 			r.fail("%s is not counted by build, expected no build=", c.what.Name)
 		}
 	}
+	if v, is := r.option("product"); is {
+		if c.what.Product = v; !slices.Contains(ofTxns, c.what.Name) {
+			r.fail("%s is not counted by product, expected no product=", c.what.Name)
+		} else if v != inquiry && v != posting && v != once {
+			r.fail("product %q is not known, expected %s, %s or %s", v, inquiry, posting, once)
+		}
+	}
 	if c.op = r.word(">=, <=, = , > or <"); !slices.Contains([]string{">=", "<=", "=", ">", "<"}, c.op) {
 		r.fail("%q compares nothing, expected >=, <=, =, > or <", c.op)
 	}
--- a/rehearsal/trial/measure.go
+++ b/rehearsal/trial/measure.go
@@ -26,7 +26,7 @@
 	case "settled", "in-time", "declined", "failed", "offered":
 		n, all := 0, 0
 		for _, t := range r.Txns {
-			if !in.has(t.Came) || !of(t.Agent) {
+			if !in.has(t.Came) || !of(t.Agent) || !t.of(m.Product) {
 				continue
 			}
 			all++
@@ -44,7 +44,7 @@
 	case "median", "p99":
 		var took []float64 // ms from a txn's first try to the last byte of its answer
 		for _, t := range r.Txns {
-			if in.has(t.Came) && of(t.Agent) && t.Fate == settled {
+			if in.has(t.Came) && of(t.Agent) && t.of(m.Product) && t.Fate == settled {
 				took = append(took, float64(t.Tries[len(t.Tries)-1].Ended-t.Came)/1000)
 			}
 		}
@@ -116,6 +116,9 @@
 	return 0, "not measured", false
 }
 
+// of tells whether it is a product's; every one has a first try.
+func (t *Txn) of(product string) bool { return product == "" || t.Tries[0].Product == product }
+
 func (b *Boxes) has(box, build int) bool {
 	return b == nil || (b.Build == 0 || b.Build == build) && (len(b.Numbers) == 0 || slices.Contains(b.Numbers, box))
 }
--- a/rehearsal/trial/night.go
+++ b/rehearsal/trial/night.go
@@ -69,6 +69,7 @@
 	Of        *Who
 	At        *Boxes
 	Build     int
+	Product   string // empty: all
 }
 
 // What steps do.
--- a/rehearsal/trial/rules_test.go
+++ b/rehearsal/trial/rules_test.go
@@ -147,6 +147,8 @@
 		"expect settled >= 0.9 from later":           "is no time",
 		"expect settled >= 0.9 each 1ms":             "at least 100ms",
 		"expect alive at=appliance:1 = 3":            "not counted by appliance",
+		"expect alive product=fee = 3":               "not counted by product",
+		"expect settled product=shoes >= 0.9":        "expected lookup, posting or fee",
 		"expect never two hold":                      "what is held",
 		"expect settled >= 0.9 of=agent:9":           "from 0 to 2",
 		"decider lease=600ms":                        "have no decider",
