--- a/charter/terms.go
+++ b/charter/terms.go
@@ -259,7 +259,9 @@
 				"zone": brain.ScopeZone, "cell": brain.ScopeCell})
 			p.Memory = t.ms(grade(i, "WindowMs"))
 		}
-		p.SLA, p.Expiry = t.ms(grade(i, "SloMs")), t.ms(grade(i, "HardLimitMs"))
+		if p.SLA, p.Expiry = t.ms(grade(i, "SloMs")), t.ms(grade(i, "HardLimitMs")); p.SLA <= 0 {
+			t.fail(grade(i, "SloMs"), "is 0; no answer could be in time")
+		}
 		p.Revenue, p.LateShare = t.num(grade(i, "Worth")), t.opt(grade(i, "LateValue"), 0)
 	}
 	plan := brain.LaunchPlan{Caps: t.list("FamilyInfo.StageCap"), Shares: t.list("FamilyInfo.StageShare"),
--- a/charter/terms_test.go
+++ b/charter/terms_test.go
@@ -94,6 +94,7 @@
 		"Feedback.How=on_probe\nLimits.Probes=false\n":                "setting Feedback.How is \"on_probe\", but Limits.Probes is false",
 		"Feedback.How=inline\n":                                       "setting Feedback.Fields names no figure, but Feedback.How",
 		"Limits.ParallelTries=true\nLimits.MaxAttempts=1\n":           "setting Limits.ParallelTries is true, but Limits.MaxAttempts is 1",
+		"Grades.0.SloMs=0\n":                                          "setting Grades.0.SloMs is 0; no answer could be in time",
 		"FamilyInfo.VoteMode=timer\n":                                 "setting FamilyInfo.VotesToGo is 1, but FamilyInfo.VoteMode is timer",
 	} {
 		_, err := Pairs(sound + lines).Open(1)
--- a/sockets/codec.go
+++ b/sockets/codec.go
@@ -330,7 +330,7 @@
 		return brain.Row{}, errors.New("an entry without host")
 	case !known:
 		return brain.Row{}, fmt.Errorf("%.40q has health %.20q", e.Host, e.Health)
-	case zone < 0 && state != brain.Gone:
+	case zone < 0 && len(zones) > 0 && state != brain.Gone:
 		return brain.Row{}, fmt.Errorf("%.40q is at site %.20q", e.Host, e.Site)
 	case !(e.BornMs >= 0 && e.BornMs < 1e15):
 		return brain.Row{}, fmt.Errorf("%.40q has born_ms %v", e.Host, e.BornMs)
