--- a/brain/loop.go
+++ b/brain/loop.go
@@ -370,9 +370,6 @@
 // New puts an agent's parts together from what it is told at its start.
 func New(st Station, products []Product, plan LaunchPlan, polling Polling, count Exposure, cold ColdStart,
 	hand Handover, may Licence, fares Fares) Router {
-	if cold.After <= 0 {
-		cold.Warm = 0 // no time is told in which a cold one is pushed over: no turn would ever come, so none counts as cold
-	}
 	g := &agent{line: &line{chance: rand.New(rand.NewSource(st.Seed)), began: -1}}
 	g.fleet = &fleet{line: g.line, byID: map[uint32]*appliance{}, probes: may.Probe, cold: cold, sized: st.Sized,
 		points: ringPoints, salt: ringSalt, carries: 1, least: 1 / float64(st.Agents)} // one open of all agents together
