--- a/brain/brain.go
+++ b/brain/brain.go
@@ -21,7 +21,7 @@
 // ringPoints: at 64 the arcs' spread is an eighth; the paper's formula shows that more buys little.
 const ringPoints = 64
 
-// pace is the part of its capacity that a starting one surely has; all, where no time to push it over is told.
+// pace is the part of its capacity that a starting one surely has; all where no time to push it over is told.
 func (a *appliance) pace() float64 {
 	if a.Started <= 0 || a.cold.Warm <= 0 || a.cold.After <= 0 {
 		return 1
