Clients' connections have a life of their own; a drain loses nothing half read

Causes, each measured on the code before with a probe over real connections: - Half a head read when the drain's Shutdown began: its rest got no answer ("unexpected EOF"), on a kept connection as on a new one. Front.Drain's SetKeepAlivesEnabled and Shutdown take a connection for idle until a whole head is read; porch.retire and makeRoom did the same by a read deadline. - 0.7 s after SIGTERM the listener closed while txns were open: a new client was refused. - A client that sent one byte too many and left was never seen to leave (no Abandoned in 1 s): the library's background read stops at one byte. - A last answer was followed by a reset where bytes lay unread behind its request (the answer itself arrived on loopback). - The drain waited for longest expiry + 1.5 s, SIGKILL comes at 3.7 s at the latest: with deadlines of 30 s the process ended after 31 s.

Now a type of our own, clientConn, takes bytes and its phase on under one lock. Retired is only what has no byte read and none waiting in the system; a drain ends idle ones, the others with their answers, and closes the listener when nobody has come for 20 ms; a connection ends by half-close and a bounded wait; bytes that come early are kept for the next request. What is open when a drain runs out is answered then. Found by reading the new code: the clock found a phase overdue between its last byte and the library's word; its next read failed, and a taken txn had no answer (inTime).

--- a/cmd/switchfork/serve.go
+++ b/cmd/switchfork/serve.go
@@ -29,8 +29,9 @@
 	collectAt = 400
 	// ownSockets: listener, peers, list, news and votes, the log and what the runtime holds, with room.
 	ownSockets = 32
-	// backlog is the longest that answers may take after their expiry before a drain gives up.
-	backlog = 500 * time.Millisecond
+	// A drain has to be over when SIGKILL comes, by the protocol no sooner than killAfter after the longest expiry, which counts as
+	// longestCounts where it is longer. drainSpare is left for the log and for an end that the system is slow to see.
+	killAfter, longestCounts, drainSpare = 700 * time.Millisecond, 3 * time.Second, 100 * time.Millisecond
 )
 
 // serve is an agent's life.
@@ -140,7 +141,7 @@
 	case <-stopped.Done():
 	}
 	slog.Info("drains")
-	wait, cancel := context.WithTimeout(ctx, longest+time.Second+backlog)
+	wait, cancel := context.WithTimeout(ctx, min(longest, longestCounts)+killAfter-drainSpare)
 	defer cancel()
 	if seat != nil {
 		seat.council.Leave(wait)
--- a/sockets/front.go
+++ b/sockets/front.go
@@ -37,18 +37,17 @@
 	holdOff brain.Micros
 	purse   *Purse
 	server  *http.Server
-	porch   *porch
+	clients *clientListener
 	gate    *Gate // nil: no door
 	who     WhoAsks
 	drains  atomic.Bool
+	until   time.Time     // of the drain; set before drains
+	giveUp  chan struct{} // closed when the drain has run out
 	ids     ids
 }
 
-// A client has headWait for a request's head, counted from its coming, and sendWait for the whole: both well inside
-// the 3 s in which who says nothing, or half of something, is owed a close. idleWait is the told time after which a
-// connection without a request may go: who asks once and stays for good holds nothing longer. exchangeWait is far over
-// any expiry.
-const headWait, sendWait, idleWait, exchangeWait = 1500 * time.Millisecond, 2 * time.Second, 2 * time.Second, time.Minute
+// exchangeWait is far over any expiry.
+const exchangeWait = time.Minute
 
 // headLimit holds any head of the protocol many times over; hundreds of endless ones must fit into the least memory.
 const headLimit = 8 << 10
@@ -93,21 +92,24 @@
 	most int, holdOff time.Duration, purse *Purse, first uint64) *Front {
 	f := &Front{core: core, most: most, holdOff: holdOff.Microseconds(), purse: purse, count: &counter{names, effects, expiry, customers}}
 	f.ids.open = map[string]bool{}
+	f.giveUp = make(chan struct{})
 	f.lastID.Store(first)
 	quiet := log.New(grumble{}, "", 0)
 	proxy := &httputil.ReverseProxy{Transport: f, ErrorLog: quiet, ErrorHandler: f.failed,
 		Rewrite: func(r *httputil.ProxyRequest) { r.Out.Host = r.In.Host }, BufferPool: &buffers{},
 		ModifyResponse: func(r *http.Response) error {
-			if f.porch.waits.CompareAndSwap(true, false) {
+			if f.clients.waits.CompareAndSwap(true, false) || f.drains.Load() {
 				r.Header.Set("Connection", "close")
 			}
 			return nil
 		}}
-	f.porch = newPorch(core, purse)
-	f.server = &http.Server{ErrorLog: quiet, ReadHeaderTimeout: headWait, ReadTimeout: sendWait,
-		WriteTimeout: exchangeWait, IdleTimeout: idleWait, MaxHeaderBytes: headLimit, ConnState: f.porch.state,
+	f.clients = newClientListener(core, purse)
+	f.server = &http.Server{ErrorLog: quiet, WriteTimeout: exchangeWait, MaxHeaderBytes: headLimit, ConnState: f.clients.state,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if f.drains.Load() {
+				w.Header().Set("Connection", "close")
+			}
 			if r.URL.Path == "/_health" {
 				f.health(w)
 				return
@@ -209,8 +211,8 @@
 	case err != nil:
 		return nil, err // the client has gone, or takes too long
 	}
-	if c, is := r.Context().Value(connKey{}).(net.Conn); is {
-		c.SetReadDeadline(time.Time{}) // it has sent all; what it waits for now takes its own time
+	if c, is := r.Context().Value(connKey{}).(*clientConn); is {
+		c.wholeRead()
 	}
 	at := time.Now().Add(-waited(r))
 	defer f.open.Add(-1)
@@ -230,6 +232,9 @@
 		r.Header.Del("User-Agent")
 	}
 	t := &open{parcel: pack(r.Method, target, r.Host, r.Header, body), reply: make(chan reply, 1), expires: at.Add(o.wait), done: func() { f.ids.free(name) }}
+	if f.drains.Load() && t.expires.After(f.until) {
+		t.expires = f.until // nobody is there to answer it later
+	}
 	id := f.lastID.Add(1)
 	taken := brain.Taken{ID: id, Product: o.product, Customer: o.customer, Key: o.key,
 		Expires: f.core.clock.at(t.expires), Work: o.work, Repeat: o.repeat}
@@ -248,6 +253,9 @@
 	case <-r.Context().Done():
 		leave()
 		return nil, r.Context().Err()
+	case <-f.giveUp:
+		leave()
+		return reply{}.response(r), nil
 	}
 }
 
@@ -296,13 +304,13 @@
 	if err != nil {
 		return err
 	}
-	f.porch.Listener = l
+	f.clients.tcp = l.(*net.TCPListener)
 	return nil
 }
 
 // Serve takes clients until Drain has ended.
 func (f *Front) Serve() error {
-	if err := f.server.Serve(f.porch); !errors.Is(err, http.ErrServerClosed) {
+	if err := f.server.Serve(f.clients); !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
@@ -311,122 +319,38 @@
 // comeStill is the protocol's: new connections and what was on its way still come for so long after SIGTERM.
 const comeStill = 700 * time.Millisecond
 
-// Drain takes what still comes, closes connections with their answers, and returns when all taken has its answer.
+// lastAnswers is how long before the end of a drain what is still open is answered: time enough to write it.
+const lastAnswers = 100 * time.Millisecond
+
+// Drain takes what still comes, closes each connection with its answer, or at once where it carries no request, and returns when no client
+// is there any more. What is open when its time has nearly run out is answered then, as nobody will be there to do it later. The
+// library's own Shutdown is not used: it closes connections of which half a head has been read, and drops a request that was
+// read whole after it began, with no answer.
 func (f *Front) Drain(ctx context.Context) error {
-	f.drains.Store(true)
-	f.server.SetKeepAlivesEnabled(false)
-	if until, is := ctx.Deadline(); is && f.gate != nil {
-		f.gate.box.put(drain{until})
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(comeStill):
+	f.until = time.Now().Add(time.Hour)
+	if until, is := ctx.Deadline(); is {
+		f.until = until.Add(-lastAnswers)
 	}
-	return f.server.Shutdown(ctx)
-}
-
-// porch lets clients in while there are descriptors. With none, the client that has been idle longest is retired, or the
-// next answer ends its connection: one for each that waits, or those with an open connection would be served over and
-// over while one in the kernel's queue waits unread until its time is over. That every answer ends its connection when
-// few are left was tried: all clients came back on new ones, which cost more than there was.
-type porch struct {
-	net.Listener
-	purse *Purse
-	core  *Core
-	mu    sync.Mutex
-	fresh map[net.Conn]time.Time // came, and has not said anything yet
-	idle  map[net.Conn]time.Time
-	in    map[net.Conn]bool
-	asked time.Time   // when appliances were last asked to drop what they don't use
-	waits atomic.Bool // a client waits for another's place
-}
-
-func newPorch(core *Core, purse *Purse) *porch {
-	return &porch{core: core, purse: purse, fresh: map[net.Conn]time.Time{}, idle: map[net.Conn]time.Time{}, in: map[net.Conn]bool{}}
-}
-
-// doorWait is how often a waiting door looks for clients that have fallen idle: a small part of any SLA time.
-const doorWait = 5 * time.Millisecond
-
-func (d *porch) Accept() (net.Conn, error) {
-	for !d.purse.client() {
-		d.waits.Store(true)
-		d.makeRoom()
+	f.drains.Store(true)
+	f.clients.drain()
+	if f.gate != nil {
+		f.gate.box.put(drain{f.until})
+	}
+	runsOut := time.NewTimer(time.Until(f.until))
+	defer runsOut.Stop()
+	still := time.NewTimer(comeStill)
+	defer still.Stop()
+	for {
 		select {
-		case <-d.purse.given:
-		case <-time.After(doorWait):
-		}
-	}
-	d.waits.Store(false)
-	c, err := d.Listener.Accept()
-	if err != nil {
-		d.purse.give(1, 0)
-		return nil, err
-	}
-	d.mu.Lock()
-	d.in[c] = true
-	d.mu.Unlock()
-	return c, nil
-}
-
-// silentWait: clients connect to ask. Who has said nothing for so long makes room for those who wait.
-const silentWait = 250 * time.Millisecond
-
-// makeRoom retires the clients that came and said nothing, or else the one that has been idle longest, and lets appliances drop what they don't use. The
-// server's wait for a request is made to fail: closing would throw away what has been read.
-func (d *porch) makeRoom() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if now := time.Now(); now.Sub(d.asked) >= trimIdle {
-		d.asked = now
-		d.core.box.put(shortage{})
-	}
-	silent := 0
-	for c, since := range d.fresh {
-		if time.Since(since) >= silentWait {
-			delete(d.fresh, c)
-			c.SetReadDeadline(time.Unix(1, 0))
-			silent++
-		}
-	}
-	if silent == 0 {
-		d.retire()
-	}
-	complaints.warn("door", "no descriptor left for a client", "open", len(d.in), "idle", len(d.idle),
-		"silent", silent)
-}
-
-// retire ends the client's connection that has been idle longest, unless the server may not have begun to wait on it.
-func (d *porch) retire() {
-	var oldest net.Conn
-	for c, since := range d.idle {
-		if oldest == nil || since.Before(d.idle[oldest]) {
-			oldest = c
-		}
-	}
-	if oldest != nil && time.Since(d.idle[oldest]) >= doorWait {
-		delete(d.idle, oldest)
-		oldest.SetReadDeadline(time.Unix(1, 0))
-	}
-}
-
-// state is told by the server; a closed connection's place is free again.
-func (d *porch) state(c net.Conn, s http.ConnState) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.idle, c)
-	delete(d.fresh, c)
-	switch s {
-	case http.StateNew:
-		d.fresh[c] = time.Now()
-	case http.StateIdle:
-		if d.idle[c] = time.Now(); len(d.idle) > d.purse.Idle() {
-			d.retire()
-		}
-	case http.StateClosed, http.StateHijacked:
-		if d.in[c] {
-			delete(d.in, c)
-			d.purse.give(1, 0)
+		case <-still.C:
+			f.clients.leave()
+		case <-runsOut.C:
+			close(f.giveUp)
+		case <-f.clients.ended:
+			return nil
+		case <-ctx.Done():
+			f.clients.stop()
+			return ctx.Err()
 		}
 	}
 }
