A class may be called _health: its requests have ids, questions of health have none

Cause: NewFront's handler took every request of the path /_health for a question of health, whatever it carried. Now a request with an id is the class's. TestClassCalledLikeHealth fails on the old line: no txn is taken, and 200 comes where the module declines. Dropped: to refuse such a class at the start. The name is the customer's, and the protocol keeps nothing free of it.

--- a/sockets/front.go
+++ b/sockets/front.go
@@ -110,7 +110,8 @@
 			if f.drains.Load() {
 				w.Header().Set("Connection", "close")
 			}
-			if r.URL.Path == "/_health" {
+			// A class may have the path's name: its requests have ids.
+			if r.URL.Path == "/_health" && r.Header.Get("X-Request-Id") == "" {
 				f.health(w)
 				return
 			}
--- a/sockets/listener_test.go
+++ b/sockets/listener_test.go
@@ -48,8 +48,8 @@
 		}
 		return nil
 	}
-	s.front = NewFront(s.core, []string{"lookup", "posting"}, []brain.Effect{brain.InquiryLike, brain.Referenced},
-		[]time.Duration{patience, patience}, nil, 1000, 0, s.purse, 1)
+	s.front = NewFront(s.core, []string{"lookup", "posting", "_health"}, []brain.Effect{brain.InquiryLike, brain.Referenced, brain.InquiryLike},
+		[]time.Duration{patience, patience, patience}, nil, 1000, 0, s.purse, 1)
 	if err := s.front.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
@@ -397,6 +397,19 @@
 	c.answered(503, false)
 }
 
+// A class may be called like the path that health is asked at.
+func TestClassCalledLikeHealth(t *testing.T) {
+	s := newClientSide(t, 64, false)
+	c := s.dial(t)
+	c.send(request("_health?sid=1"))
+	c.answered(503, false)
+	if n := len(seen[brain.Taken](s.script)); n != 1 {
+		t.Errorf("%d txns were taken", n)
+	}
+	c.send("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+	c.answered(200, false)
+}
+
 // The clock may find a head or a body overdue, or a connection be retired, when the last byte has been read and the library has not said
 // so yet. The txn is served all the same: the read that follows waits for the client, and is no end of it.
 func TestOverdueAsTheLastByteIsRead(t *testing.T) {
