What waits for a connection ends when the list says that the process leaves or is another

Cause: appliance.dialed and begin looked at neither gone, address, start nor build. Now an appliance's actor keeps the process that was listed last (address, start, build). A list line that says otherwise ends what waits as not sent, and the module chooses anew; a connection belongs to the process it was dialed to. Dropped by reading: a submission put to a dismissed appliance. The core alone puts both, and looks the appliance up after the list has taken it out (submit ends it as not sent).

--- a/sockets/appliance.go
+++ b/sockets/appliance.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"os"
 	"slices"
@@ -45,9 +46,8 @@
 	name string
 	box  *mailbox[any]
 
-	addr     string
-	born     float64
-	build    int
+	now      process // as it was listed last
+	leaving  bool    // it wants nothing new
 	idle     []*conn // the last one used is the first to be used again
 	out      map[uint64]*job
 	sweeping bool // a sweep of idle ones is on its way
@@ -55,6 +55,13 @@
 	pending  int  // dials and probes that have not ended
 }
 
+// process is what listens at an appliance: an address may return with another start or another build.
+type process struct {
+	addr  string
+	born  float64
+	build int
+}
+
 type (
 	listed struct { // what the list says of it
 		entry
@@ -101,7 +108,7 @@
 // conn is one connection, with one job at a time; its reader's goroutine lives as long as it does.
 type conn struct {
 	net.Conn
-	addr   string
+	to     process // that it was dialed to
 	job    *job
 	used   bool // a job ended well on it
 	closed bool
@@ -190,24 +197,36 @@
 	if len(a.pool.fields) > 0 {
 		target = "/_load"
 	}
-	return pack("GET", target, a.addr, nil, nil)
+	return pack("GET", target, a.now.addr, nil, nil)
 }
 
-// listed takes the address on. A process that was replaced takes its idle connections along: what would be
-// written to them ends as a reset.
+// listed takes the list's word on. A process that was replaced takes its idle connections along: what would be written to them ends as
+// a reset. What waits for a connection was ordered before that word: written when the connection comes up, up to a second later, it
+// would reach a process that leaves, or one of another build. It ends as not sent, and the module chooses anew.
 func (a *appliance) listed(n listed) {
-	if a.gone = n.gone; n.gone || n.Dial != a.addr || n.BornMs != a.born || n.Build != a.build {
+	next := a.now
+	if !n.gone {
+		next = process{n.Dial, n.BornMs, n.Build}
+	}
+	a.gone, a.leaving = n.gone, n.Health != "active"
+	other := next != a.now
+	if a.now = next; a.gone || other {
 		a.dropIdle(0)
 	}
-	if !n.gone {
-		a.addr, a.born, a.build = n.Dial, n.BornMs, n.Build
+	if !a.gone && !a.leaving && !other {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(a.out)) {
+		if j := a.out[id]; j.on == nil {
+			a.finish(j, NotSent, nil)
+		}
 	}
 }
 
 // begin gives a job a connection: the idle one used last, or a new one.
 func (a *appliance) begin(j *job) {
 	wait := time.Until(j.until)
-	if wait <= 0 {
+	if wait <= 0 || a.gone || a.leaving && !j.probe {
 		a.finish(j, NotSent, nil)
 		return
 	}
@@ -231,15 +250,15 @@
 	}
 	a.pending++
 	a.core.done.dials.Add(1)
-	addr := a.addr
+	to := a.now
 	go func() {
-		nc, err := dialOwing(context.Background(), &a.pool.dial, addr, nil)
+		nc, err := dialOwing(context.Background(), &a.pool.dial, to.addr, nil)
 		if err != nil {
 			a.pool.purse.give(0, 1)
 			a.box.put(dialed{job: j, err: err})
 			return
 		}
-		c := &conn{Conn: nc, addr: addr, ask: make(chan struct{}, 1)}
+		c := &conn{Conn: nc, to: to, ask: make(chan struct{}, 1)}
 		a.box.put(dialed{job: j, conn: c})
 		a.read(c)
 	}()
@@ -248,6 +267,11 @@
 func (a *appliance) dialed(n dialed) {
 	a.pending--
 	switch {
+	case n.err == nil && (a.gone || n.conn.to != a.now):
+		a.drop(n.conn) // it leads to a process that is no more what was meant
+		if !n.job.over {
+			a.finish(n.job, NotSent, nil)
+		}
 	case n.err == nil && n.job.over:
 		a.rest(n.conn) // its job gave up; the next one finds it ready
 	case n.err == nil:
@@ -397,7 +421,7 @@
 }
 
 func (a *appliance) rest(c *conn) {
-	if c.closed || c.addr != a.addr || a.gone {
+	if c.closed || c.to != a.now || a.gone {
 		a.drop(c)
 		return
 	}
--- /dev/null
+++ b/sockets/appliance_test.go
@@ -0,0 +1,128 @@
+package sockets
+
+import (
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"switchfork/brain"
+)
+
+// These hold appliances' connections to their word: what happens between a submission's order and its last byte, and between an
+// answer and the next submission.
+
+// heldDials has each dial to an appliance stand still before it connects, until let is called.
+func heldDials(t *testing.T, r *rig) (stands chan struct{}, let func()) {
+	stands, gate := make(chan struct{}, 8), make(chan struct{})
+	r.pool.dial.Control = func(string, string, syscall.RawConn) error {
+		stands <- struct{}{}
+		<-gate
+		return nil
+	}
+	let = sync.OnceFunc(func() { close(gate) })
+	t.Cleanup(let)
+	return stands, let
+}
+
+// order hands a txn in, and has it submitted to the only appliance in the given way; its answer comes on the channel. What ends
+// unsettled is voided.
+func (r *rig) order(id uint64, p *parcel, with brain.Submit) chan reply {
+	r.mu.Lock()
+	r.do = func(ev brain.Event) []brain.Order {
+		switch ev := ev.(type) {
+		case brain.Taken:
+			with.ID, with.Appliance = ev.ID, r.roster.number("box")
+			return []brain.Order{with}
+		case brain.Ended:
+			if !ev.Over {
+				return []brain.Order{brain.Void{ID: ev.ID}}
+			}
+		}
+		return nil
+	}
+	r.mu.Unlock()
+	o := &open{parcel: p, reply: make(chan reply, 1), expires: time.Now().Add(patience)}
+	r.core.box.put(arrived{brain.Taken{ID: id}, o})
+	return o.reply
+}
+
+// moot waits for a txn's answer, and wants its submission never sent.
+func (r *rig) moot(t *testing.T, answer chan reply) {
+	t.Helper()
+	select {
+	case <-answer:
+	case <-time.After(patience / 2):
+		t.Fatal("its submission still waits for the connection")
+	}
+	r.core.Settle(r.ctx)
+	if ended := seen[brain.Ended](r.script); len(ended) != 1 || ended[0].Outcome != brain.Moot {
+		t.Fatalf("ended as %+v", ended)
+	}
+}
+
+// While a connection comes up the list may change. What was ordered before is not written then: the process that answers may drain,
+// may have gone, or may be another.
+func TestListChangesWhileAConnectionComesUp(t *testing.T) {
+	was := entry{Host: "box", Site: "suva", Health: "active", BornMs: 5, Build: 1}
+	for name, change := range map[string]func(e *entry, other string){
+		"drains":          func(e *entry, _ string) { e.Health = "leaving" },
+		"is gone":         func(e *entry, _ string) { e.Health = "left" },
+		"has other build": func(e *entry, _ string) { e.Build = 2 },
+		"has started":     func(e *entry, _ string) { e.BornMs = 6 },
+		"has moved":       func(e *entry, other string) { e.Dial = other },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, other := newBox(t, answers(ok("done"))), newBox(t, answers(ok("done")))
+			r := newRig(t, patience, "127.0.0.1:1", "127.0.0.1:1")
+			stands, let := heldDials(t, r)
+			was.Dial = b.Addr()
+			r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{was}})
+			answer := r.order(1, posting, brain.Submit{})
+			<-stands
+			now := was
+			change(&now, other.Addr())
+			r.roster.tell(roll{Seq: 2, Hosts: []entry{now}})
+			r.moot(t, answer)
+			let()
+			// A connection that comes up now carries nothing: the next txn is the first that either hears of.
+			next := was
+			next.Dial, next.BornMs, next.Build = other.Addr(), 7, 3
+			r.roster.tell(roll{Seq: 3, Hosts: []entry{next}})
+			if got := <-r.order(2, posting, brain.Submit{}); got.settled == nil {
+				t.Fatalf("the next txn ended as %+v", got)
+			}
+			if n, m := len(b.Got()), len(other.Got()); n != 0 || m != 1 {
+				t.Errorf("%d and %d copies arrived", n, m)
+			}
+		})
+	}
+}
+
+// A probe whose connection comes up after its address has another process asks nobody: the answer would speak for the wrong one.
+func TestProbeWaitsWhileTheListChanges(t *testing.T) {
+	b, other := newBox(t, answers(ok("{}"))), newBox(t, answers(ok("{}")))
+	r := newRig(t, patience, "127.0.0.1:1", "127.0.0.1:1")
+	stands, let := heldDials(t, r)
+	row := entry{Host: "box", Dial: b.Addr(), Site: "suva", Health: "active"}
+	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{row}})
+	number := r.roster.number("box")
+	r.mu.Lock()
+	r.do = func(ev brain.Event) []brain.Order {
+		if _, is := ev.(brain.Heard); is {
+			return []brain.Order{brain.Probe{Appliance: number}}
+		}
+		return nil
+	}
+	r.mu.Unlock()
+	r.core.box.put(brain.Heard{})
+	<-stands
+	row.Dial, row.BornMs = other.Addr(), 7
+	r.roster.tell(roll{Seq: 2, Hosts: []entry{row}})
+	eventually(t, "the list", func() bool { return len(seen[brain.Listed](r.script)) == 2 })
+	let()
+	eventually(t, "the probe's end", func() bool { return len(seen[brain.Probed](r.script)) == 1 })
+	if p := seen[brain.Probed](r.script)[0]; p.Outcome != brain.Moot || len(b.Got())+len(other.Got()) != 0 {
+		t.Errorf("ended as %+v, %d and %d asked", p, len(b.Got()), len(other.Got()))
+	}
+}
--- a/sockets/core_test.go
+++ b/sockets/core_test.go
@@ -54,6 +54,7 @@
 	core     *Core
 	roster   *Roster
 	launcher *Launcher
+	pool     *Pool
 	ctx      context.Context
 }
 
@@ -69,9 +70,9 @@
 	var stop context.CancelFunc
 	r.ctx, stop = context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	pool := NewPool(dial, time.Minute, []string{"queue"}, NewPurse(64))
+	r.pool = NewPool(dial, time.Minute, []string{"queue"}, NewPurse(64))
 	t.Cleanup(func() { stop() })
-	go func() { r.core.Serve(r.ctx, pool, r.launcher, peers) }()
+	go func() { r.core.Serve(r.ctx, r.pool, r.launcher, peers) }()
 	return r
 }
 
