An answer that comes slowly has its submission's time; only one that pauses for 300 ms is given up

Cause: inflow.next set one read deadline of 300 ms for all of an answer, a figure of network code; one that trickled in time was thrown away, and a txn that may have run was repeated or voided. Now each read within an answer has the 300 ms, and the whole has the submission's time, which the actor keeps (due). TestSlowAnswer fails on the old deadline (an answer over 600 ms is spoilt after 301 ms) and with no deadline at all (one that stops in its middle is waited for to the end). A begun answer keeps its connection until the submission's time is over at the longest.

--- a/sockets/appliance_test.go
+++ b/sockets/appliance_test.go
@@ -1,8 +1,11 @@
 package sockets
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -184,3 +187,35 @@
 		t.Errorf("ended as %+v, %d and %d asked", p, len(b.Got()), len(other.Got()))
 	}
 }
+
+// An answer that comes slowly has its submission's time; one that pauses in its middle ends soon.
+func TestSlowAnswer(t *testing.T) {
+	whole := ok(strings.Repeat("x", 20))
+	for _, c := range []struct {
+		stops int // after so many bytes; 0: does not
+		want  brain.Outcome
+	}{{0, brain.OK}, {30, brain.Spoilt}} {
+		t.Run(fmt.Sprint(c.stops), func(t *testing.T) {
+			b := newBox(t, func(own net.Conn, _ int) bool {
+				for i := range whole {
+					if i == c.stops && c.stops > 0 {
+						io.Copy(io.Discard, own)
+						return false
+					}
+					if _, err := io.WriteString(own, whole[i:i+1]); err != nil {
+						return false
+					}
+					time.Sleep(2 * answerWait / time.Duration(len(whole)))
+				}
+				return true
+			})
+			r := newRig(t, time.Second, "127.0.0.1:1", "127.0.0.1:1")
+			r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.Addr(), Site: "suva", Health: "active"}}})
+			<-r.order(1, posting, brain.Submit{})
+			r.core.Settle(context.Background())
+			if ended := seen[brain.Ended](r.script); len(ended) != 1 || ended[0].Outcome != c.want {
+				t.Errorf("ended as %+v, want %v", ended, c.want)
+			}
+		})
+	}
+}
--- a/sockets/codec.go
+++ b/sockets/codec.go
@@ -191,17 +191,27 @@
 	conn  net.Conn
 	limit io.LimitedReader
 	br    *bufio.Reader
+	begun bool // an answer's first byte has come
 }
 
-// answerWait is the longest between an answer's first byte and its last: it is written in one piece, with no work
-// between. It guards against heads and bodies that do not end and lengths that are too long, which would else be
-// waited for until the txn's time is over; it may cut off one that a network delays for so long in its middle.
+// Read waits as long as the submission does for an answer's first byte, and answerWait for each further piece.
+func (a *inflow) Read(b []byte) (int, error) {
+	if a.begun {
+		a.conn.SetReadDeadline(time.Now().Add(answerWait))
+	}
+	return a.conn.Read(b)
+}
+
+// answerWait is the longest that a begun answer may pause: it is written in one piece, with no work between. It guards against heads
+// and bodies that do not end and lengths that are too long, which would else be waited for until the txn's time is over. One that
+// comes slowly, byte by byte, has its submission's time.
 const answerWait = 300 * time.Millisecond
 
 var errNoEnd = errors.New("nothing but the connection's end says that the answer is whole")
 
 func newInflow(conn net.Conn) *inflow {
-	a := &inflow{conn: conn, limit: io.LimitedReader{R: conn}}
+	a := &inflow{conn: conn}
+	a.limit.R = a
 	a.br = bufio.NewReaderSize(&a.limit, 4<<10)
 	return a
 }
@@ -215,11 +225,12 @@
 		if err != nil {
 			return nil, a.over(err)
 		}
-		a.conn.SetReadDeadline(time.Now().Add(answerWait))
+		a.begun = true
 		ans, err := readAnswer(a.br, fields)
 		if err != nil {
 			return nil, a.over(err)
 		}
+		a.begun = false
 		a.conn.SetReadDeadline(time.Time{})
 		if ans != nil {
 			ans.last = ans.last || a.br.Buffered() > 0
