Lists may come indented: they are put together from their lines

Cause: Roster read one list a line. Seen by a test before the change: neither the fetched list nor a change arrives. Now a list ends where its brackets do. A sign of life, or a list of its own, within one says that it lacks its end; then the whole list is fetched, as after any list that can't be read. All lines together have the one line's limit. A fetch that brings no list is an error and no success. Tests: TestIndentedLists, TestListWithoutItsEnd, TestMessage; the first fails on the old code. TestWatch is unchanged.

--- a/sockets/codec.go
+++ b/sockets/codec.go
@@ -324,6 +324,60 @@
 	Build  int     `json:"build"`
 }
 
+// message puts a list back together that comes over several lines: lists may come indented. A line alone is whole when its brackets
+// are; within a text no line ends.
+type message struct {
+	raw   []byte
+	depth int
+}
+
+var errMiddle = errors.New("a list that ends in its middle")
+
+// add takes a line; whole is the list that it ends, or nil while more has to come. An empty line is a sign of life, which never comes
+// within a list: what has begun will not be ended.
+func (m *message) add(line []byte, most int) (whole []byte, err error) {
+	if len(line) == 0 {
+		return nil, m.end()
+	}
+	if len(m.raw) > 0 {
+		if next, err := readRoll(line); err == nil && next.Seq > 0 {
+			return nil, errMiddle // a list of its own: the one before lacks its end
+		}
+	}
+	text, escaped := false, false
+	for _, c := range line {
+		switch {
+		case escaped:
+			escaped = false
+		case text && c == '\\':
+			escaped = true
+		case c == '"':
+			text = !text
+		case text:
+		case c == '{' || c == '[':
+			m.depth++
+		case c == '}' || c == ']':
+			m.depth--
+		}
+	}
+	if len(m.raw)+len(line) > most {
+		return nil, errTooLong
+	}
+	if m.raw = append(m.raw, line...); m.depth > 0 && !text {
+		return nil, nil
+	}
+	whole, *m = m.raw, message{}
+	return whole, nil
+}
+
+// end tells whether a list has been cut off.
+func (m *message) end() error {
+	if len(m.raw) > 0 {
+		return errMiddle
+	}
+	return nil
+}
+
 func readRoll(raw []byte) (roll, error) {
 	var r roll
 	err := json.Unmarshal(raw, &r)
--- a/sockets/roster.go
+++ b/sockets/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -266,8 +267,11 @@
 func (f *follower) fetch(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, signsMissed*watchSign)
 	defer stop()
-	return f.follow(ctx, f.base, func(line []byte) error {
-		l, err := readRoll(line)
+	err := f.follow(ctx, f.base, func(list []byte) error {
+		if len(list) == 0 {
+			return nil
+		}
+		l, err := readRoll(list)
 		if err == nil && !l.Whole {
 			err = fmt.Errorf("asked for the whole list, got changes")
 		}
@@ -276,6 +280,10 @@
 		}
 		return err
 	})
+	if err == nil && f.whole {
+		err = fmt.Errorf("asked for the whole list, got none")
+	}
+	return err
 }
 
 func (f *follower) watch(ctx context.Context) (lines int, err error) {
@@ -283,15 +291,15 @@
 	defer stop()
 	quiet := time.AfterFunc(signsMissed*watchSign, stop)
 	defer quiet.Stop()
-	err = f.follow(ctx, fmt.Sprintf("%s?stream=1&index=%d", f.base, f.seq), func(line []byte) error {
+	err = f.follow(ctx, fmt.Sprintf("%s?stream=1&index=%d", f.base, f.seq), func(list []byte) error {
 		quiet.Reset(signsMissed * watchSign)
-		if lines++; len(line) == 0 {
+		if lines++; len(list) == 0 {
 			return nil
 		}
-		l, err := readRoll(line)
+		l, err := readRoll(list)
 		if err != nil {
 			f.whole = true
-			return fmt.Errorf("unreadable line: %w", err)
+			return fmt.Errorf("unreadable list: %w", err)
 		}
 		if l.Seq <= f.seq && !(l.Whole && lines == 1) {
 			return nil // heard before; a new watch may start with a whole list of whatever version
@@ -303,10 +311,10 @@
 	return lines, err
 }
 
-// lineLimit holds the whole list of a large fleet.
+// lineLimit holds the whole list of a large fleet, in one line or in many.
 const lineLimit = 4 << 20
 
-// follow hands each line of an answer on until it ends.
+// follow hands each list of an answer on until it ends, and each sign of life as an empty one.
 func (f *follower) follow(ctx context.Context, url string, each func([]byte) error) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -323,10 +331,23 @@
 	}
 	sc := bufio.NewScanner(res.Body)
 	sc.Buffer(make([]byte, 0, 16<<10), lineLimit)
+	var m message
 	for sc.Scan() {
-		if err := each(sc.Bytes()); err != nil {
+		line := bytes.TrimSpace(sc.Bytes())
+		list, err := m.add(line, lineLimit)
+		switch {
+		case err != nil:
+			f.whole = true
+			return err
+		case list == nil && len(line) > 0:
+			continue
+		}
+		if err := each(list); err != nil {
 			return err
 		}
 	}
-	return sc.Err()
+	if err = sc.Err(); err == nil {
+		err = m.end()
+	}
+	return err
 }
--- /dev/null
+++ b/sockets/roster_test.go
@@ -0,0 +1,141 @@
+package sockets
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"switchfork/brain"
+)
+
+// These hold the list's side to its word over real connections.
+
+// indented is a list over several lines.
+func indented(list string) string {
+	var out bytes.Buffer
+	if err := json.Indent(&out, []byte(strings.TrimSpace(list)), "", "  "); err != nil {
+		panic(err)
+	}
+	return out.String() + "\n"
+}
+
+// states are what the module was last told of each host's build and state, by number.
+func (r *rig) states() map[uint32]brain.Row {
+	out := map[uint32]brain.Row{}
+	for _, l := range seen[brain.Listed](r.script) {
+		if l.Full {
+			clear(out)
+		}
+		for _, row := range l.Rows {
+			if out[row.ID] = row; row.State == brain.Gone {
+				delete(out, row.ID)
+			}
+		}
+	}
+	return out
+}
+
+// has waits until the module knows of so many hosts, and of the box with this build.
+func (r *rig) has(t *testing.T, hosts, build int) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("a list of %d with build %d", hosts, build), func() bool {
+		s := r.states()
+		return len(s) == hosts && s[NewRoster(r.core, "", nil, 0, 0, 1, 1).number("box")].Build == build
+	})
+}
+
+// Lists may come over several lines, whole as well as changes.
+func TestIndentedLists(t *testing.T) {
+	two := indented(line(5, true, host("box", "127.0.0.1:1", "active", 1), host("box2", "127.0.0.1:2", "active", 1)))
+	d := newStreamer(t, "\n", 50*time.Millisecond, func(asked string) string {
+		if strings.Contains(asked, "stream") {
+			return ""
+		}
+		return two
+	})
+	r := newRig(t, time.Second, d.Addr(), "127.0.0.1:1")
+	if err := r.roster.Known(nil); err != nil {
+		t.Fatal(err)
+	}
+	go r.roster.Serve(r.ctx)
+	r.has(t, 2, 1)
+	eventually(t, "the watch", func() bool { return d.Open() == 1 })
+	d.Tell(indented(line(6, false, host("box", "127.0.0.1:1", "active", 2))))
+	r.has(t, 2, 2)
+	d.Tell(line(7, false, host("box", "127.0.0.1:1", "active", 3)) + indented(line(8, false, host("box2", "127.0.0.1:2", "left", 1))))
+	r.has(t, 1, 3)
+	if n := d.Calls(""); n != 2 {
+		t.Errorf("asked %q", d.Asked())
+	}
+}
+
+// A list that lacks its end is found out by the next sign of life or the next list, and the whole list is fetched.
+func TestListWithoutItsEnd(t *testing.T) {
+	cut := indented(line(6, false, host("box", "127.0.0.1:1", "leaving", 7)))
+	cut = cut[:strings.Index(cut, `"health"`)]
+	for name, rest := range map[string]string{"then a sign": "\n", "then a list": line(7, false, host("box", "127.0.0.1:1", "leaving", 8)),
+		"then an indented one": indented(line(7, false, host("box", "127.0.0.1:1", "leaving", 8)))} {
+		t.Run(name, func(t *testing.T) {
+			d := newStreamer(t, "\n", 50*time.Millisecond, func(asked string) string {
+				if strings.Contains(asked, "stream") {
+					return ""
+				}
+				return line(9, true, host("box", "127.0.0.1:1", "active", 9))
+			})
+			r := newRig(t, time.Second, d.Addr(), "127.0.0.1:1")
+			if err := r.roster.Known([]byte(line(5, true, host("box", "127.0.0.1:1", "active", 1)))); err != nil {
+				t.Fatal(err)
+			}
+			go r.roster.Serve(r.ctx)
+			eventually(t, "the watch", func() bool { return d.Open() == 1 })
+			d.Tell(cut + "\n" + rest)
+			r.has(t, 1, 9)
+			for _, l := range seen[brain.Listed](r.script) {
+				for _, row := range l.Rows {
+					if row.Build == 7 {
+						t.Errorf("told %+v, of which half came", row)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Brackets within texts are none, and a line alone that is no list is told as it came.
+func TestMessage(t *testing.T) {
+	for _, c := range []struct {
+		lines string // with / between
+		want  string // the lists that come, with / between; ! for an error
+	}{
+		{`{"a":"}"}`, `{"a":"}"}`},
+		{`{/ "a":"\"}{"/}/`, `{ "a":"\"}{"}/`},
+		{`//`, `//`},
+		{`{/`, `!`},
+		{`{/{"seq":4,"hosts":[]}`, `!`},
+		{`]`, `]`},
+		{`{"a":"/b"}`, `{"a":"`},
+		{`{/"01234567890123456789012345678901234567890123456789"`, `!`},
+	} {
+		var m message
+		var got []string
+		for _, l := range strings.Split(c.lines, "/") {
+			whole, err := m.add([]byte(l), 50)
+			if err != nil {
+				got = append(got, "!")
+				break
+			}
+			if whole != nil || l == "" {
+				got = append(got, string(whole))
+			}
+			if c.lines == `{"a":"/b"}` {
+				break
+			}
+		}
+		if strings.Join(got, "/") != c.want {
+			t.Errorf("%s: got %q, want %q", c.lines, strings.Join(got, "/"), c.want)
+		}
+	}
+}
