After a move of discovery an older whole list is held until its watch has brought it as far

Cause: Roster.Serve believed the first list of the new address, whatever its version. Now such a list is held and put together with what its watch brings. It is believed when it is as far as what is in force, or at the watch's first sign of life, which says that nothing newer is there (a discovery that counts otherwise); that is one sign's time at most, 2 of the 4 s after which a move counts. The old watch tells on meanwhile. TestReload is unchanged. Dropped: a second SIGHUP in between (Move stops the one on its way and starts another; the old watch stays); a watch's own first whole list of a lower version, which only a discovery that began anew sends.

--- a/sockets/roster.go
+++ b/sockets/roster.go
@@ -33,6 +33,7 @@
 	numbers map[string]uint32 // by host
 	taken   map[uint32]string
 	box     *mailbox[any]
+	seq     uint64    // of what is in force
 	now     *follower // the one that is believed
 	next    *follower // at the address that is to take its place; nil where none is
 }
@@ -47,12 +48,14 @@
 	once   bool // its address has been left: not opened again
 	mu     sync.Mutex
 	stop   context.CancelFunc
+	held   roll // what it has brought and is not believed yet; Serve's
 }
 
-// lineOf is a line that a follower has read.
+// lineOf is a list that a follower has read, or a sign of life: for now there is nothing newer there.
 type lineOf struct {
 	from *follower
 	roll
+	sign bool
 }
 
 // NewRoster follows the list at an address. within is the told time in which an agent without a watch should ask, 0 where
@@ -70,7 +73,9 @@
 }
 
 // Move goes to another address. The watch at the old one goes on until the new one has brought the whole list, so that
-// no change is lost between; it is not opened again.
+// no change is lost between; it is not opened again. The new one may be behind: the old one has told a drain when the new one's
+// whole list of a moment before is read, and would take it back. That list is held until its watch has brought it as far, or a sign
+// of life says that nothing newer is there, as with other numbers at another discovery; that is a sign's time at most.
 func (r *Roster) Move(address string) { r.box.put(address) }
 
 // Serve empties the mailbox until the end.
@@ -86,11 +91,18 @@
 		for _, n := range r.box.take(nil) {
 			switch n := n.(type) {
 			case lineOf:
-				if n.from == r.next {
-					r.now.stop()
-					r.now, r.next = r.next, nil
-				}
-				if n.from == r.now {
+				switch {
+				case n.from == r.next:
+					if !n.sign {
+						n.from.held = n.from.held.with(n.roll)
+					}
+					if n.sign || n.from.held.Seq >= r.seq {
+						r.now.stop()
+						r.now, r.next = r.next, nil
+						r.tell(r.now.held)
+						r.now.held = roll{}
+					}
+				case n.from == r.now && !n.sign:
 					r.tell(n.roll)
 				}
 			case calledIn:
@@ -168,8 +180,22 @@
 	}
 }
 
-// tell hands a line's rows on.
+// with is a list with later changes.
+func (l roll) with(later roll) roll {
+	if later.Whole {
+		return later
+	}
+	changed := map[string]bool{}
+	for _, e := range later.Hosts {
+		changed[e.Host] = true
+	}
+	hosts := slices.DeleteFunc(slices.Clone(l.Hosts), func(e entry) bool { return changed[e.Host] })
+	return roll{Seq: later.Seq, Whole: l.Whole, Hosts: append(hosts, later.Hosts...)}
+}
+
+// tell hands a list's rows on.
 func (r *Roster) tell(l roll) {
+	r.seq = l.Seq
 	slices.SortStableFunc(l.Hosts, func(a, b entry) int { return strings.Compare(a.Host, b.Host) })
 	out := listing{Listed: brain.Listed{Full: l.Whole}}
 	for _, e := range l.Hosts {
@@ -260,7 +286,7 @@
 // heard takes a line on.
 func (f *follower) heard(l roll) {
 	f.seq, f.whole = l.Seq, false
-	f.roster.box.put(lineOf{f, l})
+	f.roster.box.put(lineOf{from: f, roll: l})
 }
 
 // fetch takes the whole list, after a line that could not be read.
@@ -294,6 +320,7 @@
 	err = f.follow(ctx, fmt.Sprintf("%s?stream=1&index=%d", f.base, f.seq), func(list []byte) error {
 		quiet.Reset(signsMissed * watchSign)
 		if lines++; len(list) == 0 {
+			f.roster.box.put(lineOf{from: f, sign: true})
 			return nil
 		}
 		l, err := readRoll(list)
--- a/sockets/roster_test.go
+++ b/sockets/roster_test.go
@@ -104,6 +104,73 @@
 	}
 }
 
+// moving is a rig that knows of version 5 and has been told a drain as version 9, before it moves to a discovery that is at version 7.
+func moving(t *testing.T, sign time.Duration) (r *rig, old, new *streamer) {
+	silent := func(string) string { return "" }
+	old = newStreamer(t, "\n", time.Hour, silent)
+	new = newStreamer(t, "\n", sign, func(asked string) string {
+		if strings.Contains(asked, "stream") {
+			return ""
+		}
+		return line(7, true, host("box", "127.0.0.1:1", "active", 1), host("box2", "127.0.0.1:2", "active", 1))
+	})
+	r = newRig(t, time.Second, old.Addr(), "127.0.0.1:1")
+	if err := r.roster.Known([]byte(line(5, true, host("box", "127.0.0.1:1", "active", 1)))); err != nil {
+		t.Fatal(err)
+	}
+	go r.roster.Serve(r.ctx)
+	eventually(t, "the old watch", func() bool { return old.Open() == 1 })
+	old.Tell(line(9, false, host("box", "127.0.0.1:1", "leaving", 1)))
+	eventually(t, "the drain", r.drained)
+	r.roster.Move(new.Addr())
+	return r, old, new
+}
+
+// drained tells whether the module knows that the box drains.
+func (r *rig) drained() bool {
+	for _, row := range r.states() {
+		if row.State == brain.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+// A discovery that is behind does not take a drain back: its whole list is held until its watch has brought it as far.
+func TestMoveToAnOlderList(t *testing.T) {
+	r, old, new := moving(t, time.Hour)
+	eventually(t, "the new watch", func() bool { return new.Calls("index=7") == 1 && new.Open() == 1 })
+	done := make(chan struct{}) // all that the new one has brought is handled
+	r.roster.box.put(calledIn{done})
+	<-done
+	r.core.Settle(r.ctx)
+	if !r.drained() || old.Left() != 0 {
+		t.Fatalf("the older list is in force: %+v", r.states())
+	}
+	old.Tell(line(10, false, host("box", "127.0.0.1:1", "leaving", 2))) // which goes on telling
+	r.has(t, 1, 2)
+	new.Tell(line(9, false, host("box", "127.0.0.1:1", "leaving", 1)))
+	new.Tell(line(11, false, host("box", "127.0.0.1:1", "leaving", 3), host("box3", "127.0.0.1:3", "left", 1)))
+	r.has(t, 2, 3)
+	eventually(t, "the end of the old watch", func() bool { return old.Left() == 1 })
+	for i, l := range seen[brain.Listed](r.script) {
+		for _, row := range l.Rows {
+			if i > 1 && row.ID == NewRoster(r.core, "", nil, 0, 0, 1, 1).number("box") && row.State != brain.Draining {
+				t.Errorf("list %d takes the drain back: %+v", i, row)
+			}
+		}
+	}
+}
+
+// A discovery that counts otherwise is believed with its first sign of life.
+func TestMoveToOtherNumbers(t *testing.T) {
+	r, old, new := moving(t, 50*time.Millisecond)
+	r.has(t, 2, 1)
+	eventually(t, "the end of the old watch", func() bool { return old.Left() == 1 })
+	new.Tell(line(8, false, host("box", "127.0.0.1:1", "active", 5)))
+	r.has(t, 2, 5)
+}
+
 // Brackets within texts are none, and a line alone that is no list is told as it came.
 func TestMessage(t *testing.T) {
 	for _, c := range []struct {
