A silent watch is opened anew after 4 s, not when what it misses already counts as told

Cause: Roster opened a silent watch anew after three signs, 6 s after its last line; what it misses counts as told 6 s after it fell silent, which may be that very line. A false alarm costs a call and needs a sign late by its whole period. The whole list's fetch has the same bound. Tried in thought and dropped: a second watch beside the first from 2 s on. The version in the call leaves nothing out between two watches, so only the time counts, and 2 s are left for it.

--- a/sockets/roster.go
+++ b/sockets/roster.go
@@ -232,10 +232,13 @@
 }
 
 const (
-	// signsMissed: the list and the launcher's news are followed anew after so long without a line, three of the
-	// protocol's signs of life.
+	// signsMissed: the launcher's news are followed anew after so long without a line, three of the protocol's signs of life.
 	signsMissed = 3
 	watchSign   = 2 * time.Second
+	// A watch is opened anew when two of its signs are due. What a silent one misses counts as told 6 s after its last line at the
+	// soonest, three signs: opened anew only then, every list in between came too late for a pause, a connection and a reading.
+	// It costs one call where a sign is late by its whole period.
+	watchQuiet = 2 * watchSign
 )
 
 // wait is a pause that the end cuts short.
@@ -291,7 +294,7 @@
 
 // fetch takes the whole list, after a line that could not be read.
 func (f *follower) fetch(ctx context.Context) error {
-	ctx, stop := context.WithTimeout(ctx, signsMissed*watchSign)
+	ctx, stop := context.WithTimeout(ctx, watchQuiet)
 	defer stop()
 	err := f.follow(ctx, f.base, func(list []byte) error {
 		if len(list) == 0 {
@@ -315,10 +318,10 @@
 func (f *follower) watch(ctx context.Context) (lines int, err error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	quiet := time.AfterFunc(signsMissed*watchSign, stop)
+	quiet := time.AfterFunc(watchQuiet, stop)
 	defer quiet.Stop()
 	err = f.follow(ctx, fmt.Sprintf("%s?stream=1&index=%d", f.base, f.seq), func(list []byte) error {
-		quiet.Reset(signsMissed * watchSign)
+		quiet.Reset(watchQuiet)
 		if lines++; len(list) == 0 {
 			f.roster.box.put(lineOf{from: f, sign: true})
 			return nil
--- a/sockets/roster_test.go
+++ b/sockets/roster_test.go
@@ -171,6 +171,25 @@
 	r.has(t, 2, 5)
 }
 
+// A watch that falls silent is opened anew well before what it misses counts as told, 6 s after its last line.
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	told := line(6, false, host("box", "127.0.0.1:1", "leaving", 1))
+	d := newStreamer(t, "\n", time.Hour, func(string) string { return "\n" })
+	r := newRig(t, time.Second, d.Addr(), "127.0.0.1:1")
+	if err := r.roster.Known([]byte(line(5, true, host("box", "127.0.0.1:1", "active", 1)))); err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	go r.roster.Serve(r.ctx)
+	eventually(t, "the watch again", func() bool { return d.Calls("stream=1&index=5") == 2 })
+	eventually(t, "its stream", func() bool { return d.Open() == 2 || d.Left() == 1 })
+	d.Tell(told)
+	eventually(t, "the drain", r.drained)
+	if took := time.Since(start); took < watchSign || took > 3*watchSign-watchSign/4 {
+		t.Errorf("the drain came %v after the last line", took)
+	}
+}
+
 // Brackets within texts are none, and a line alone that is no list is told as it came.
 func TestMessage(t *testing.T) {
 	for _, c := range []struct {
