--- a/sockets/appliance.go
+++ b/sockets/appliance.go
@@ -253,6 +253,8 @@
 	for _, c := range slices.Backward(slices.Clone(a.idle)) {
 		switch {
 		case c.since.After(young):
+		case a.stale(c):
+			a.drop(c) // the sweep is late: the process stood still
 		case c.still():
 			a.idle = slices.DeleteFunc(a.idle, func(d *conn) bool { return d == c })
 			a.write(c, j)
@@ -471,8 +473,13 @@
 	}
 }
 
-// dropIdle closes what has been idle that long. Half of the told time keeps well clear of the appliance's own
-// closing, which would make a reset of a request that crosses it.
+// stale tells whether the appliance may be about to close a connection: half of the told time keeps well clear of it, which would
+// make a reset of a request that crosses it.
+func (a *appliance) stale(c *conn) bool {
+	return a.pool.idle > 0 && time.Since(c.since) >= a.pool.idle/2
+}
+
+// dropIdle closes what has been idle that long.
 func (a *appliance) dropIdle(long time.Duration) {
 	for _, c := range slices.Clone(a.idle) {
 		if time.Since(c.since) >= long {
--- a/sockets/appliance_test.go
+++ b/sockets/appliance_test.go
@@ -219,3 +219,26 @@
 		})
 	}
 }
+
+// A process that stood still longer than an appliance keeps idle connections writes nothing on one of them when it goes on, though its
+// sweep has not run and the appliance's close has not arrived: the request would end as a reset.
+func TestStaleConnectionIsNotUsed(t *testing.T) {
+	b := newBox(t, answers(ok("done")))
+	r := newRig(t, time.Second, "127.0.0.1:1", "127.0.0.1:1")
+	r.pool.idle = 0 // no sweep
+	r.roster.tell(roll{Seq: 1, Whole: true, Hosts: []entry{{Host: "box", Dial: b.Addr(), Site: "suva", Health: "active"}}})
+	for id := range uint64(2) {
+		if got := <-r.order(id+1, posting, brain.Submit{}); got.settled == nil {
+			t.Fatalf("txn %d ended as %+v", id+1, got)
+		}
+	}
+	r.core.Settle(r.ctx)
+	r.pool.idle = 20 * time.Millisecond
+	time.Sleep(r.pool.idle) // the time that has to be over; more does not matter
+	if got := <-r.order(3, posting, brain.Submit{}); got.settled == nil {
+		t.Fatalf("the third ended as %+v", got)
+	}
+	if copies := b.Got(); len(copies) != 3 || copies[1].Conn != 1 || copies[2].Conn != 2 {
+		t.Errorf("arrived: %+v", copies)
+	}
+}
