--- a/charter/charter.go
+++ b/charter/charter.go
@@ -210,8 +210,19 @@
 // Goods are the products in the order that the module numbers them.
 func (t *Terms) Goods() []Good {
 	out := make([]Good, t.count("Grades.count"))
+	seen := map[string]int{}
 	for i := range out {
-		out[i] = Good{t.str(grade(i, "Name")), t.effect(i), time.Duration(t.ms(grade(i, "HardLimitMs"))) * time.Microsecond}
+		g := &out[i]
+		*g = Good{t.str(grade(i, "Name")), t.effect(i), time.Duration(t.ms(grade(i, "HardLimitMs"))) * time.Microsecond}
+		switch other, twice := seen[g.Name]; {
+		case g.Name == "":
+			t.fail(grade(i, "Name"), "is empty; requests name their class by it")
+		case twice:
+			t.fail(grade(i, "Name"), fmt.Sprintf("is %q, like that of class %d; requests name their class by it", g.Name, other))
+		case g.Expiry <= 0:
+			t.fail(grade(i, "HardLimitMs"), "is 0; no answer could come in time")
+		}
+		seen[g.Name] = i
 	}
 	return out
 }
@@ -251,7 +262,13 @@
 }
 
 // A deployment that names no zone has one, and whatever site the list tells is in it.
-func (t *Terms) Zones() []string { return t.words("Localities") }
+func (t *Terms) Zones() []string {
+	zones := t.words("Localities")
+	if own := t.count("Zone"); len(zones) > 0 && own >= len(zones) {
+		t.fail("Zone", fmt.Sprintf("is %d, the own zone's number from 0 on, but %sLocalities has %d", own, t.under, len(zones)))
+	}
+	return zones
+}
 
 func (t *Terms) Lines() Lines {
 	span := func(key string) time.Duration {
--- a/sockets/codec.go
+++ b/sockets/codec.go
@@ -95,6 +95,9 @@
 		}
 	}
 	o := &order{product: slices.Index(c.names, first)}
+	if plain, err := url.PathUnescape(first); o.product < 0 && err == nil { // a name may hold what a path writes with percent signs
+		first, o.product = plain, slices.Index(c.names, plain)
+	}
 	if o.product < 0 {
 		return bad(http.StatusNotFound, "no product %.40q", first)
 	}
