An answer has its request's time and 2 s more to be taken, however long that time is

Cause: the library's WriteTimeout, a minute from the request's head, bounded both ways wrongly: a deadline of more than a minute would have had its answer cut off, and a client that asks and takes no answer held a descriptor for a minute, far beyond its own wait. Now each txn's answer may be written until 2 s (the time a request has to come whole) after its expiry. TestAnswersThatAreNotTaken, a client that pipelines with a deadline of 300 ms and reads nothing, fails without it: its connection is still there after 20 s; with it, it ends after 3 s. The minute stays for answers to what is no txn.

--- a/sockets/front.go
+++ b/sockets/front.go
@@ -46,7 +46,8 @@
 	ids     ids
 }
 
-// exchangeWait is far over any expiry.
+// exchangeWait bounds the answers to what is no txn, and how old a request can be that waits in the system; a txn's answer has a bound of
+// its own.
 const exchangeWait = time.Minute
 
 // headLimit holds any head of the protocol many times over; hundreds of endless ones must fit into the least memory.
@@ -248,6 +249,17 @@
 		f.gate.box.put(knock{door.Arrival{ID: id, Tenant: o.customer, Client: f.client(r), Product: o.product, Key: o.mark,
 			Repeat: o.repeat, Work: o.work, Expires: taken.Expires, Bytes: len(t.parcel.head) + len(body)}, taken, t})
 	}
+	// Who has not taken its answer some time after it stopped waiting holds a descriptor for nothing; before, it has its time, however
+	// long that is: the library's own bound counts from the request.
+	defer func() {
+		if c, is := r.Context().Value(connKey{}).(*clientConn); is {
+			last := time.Now()
+			if t.expires.After(last) {
+				last = t.expires
+			}
+			c.SetWriteDeadline(last.Add(sendWait))
+		}
+	}()
 	select {
 	case said := <-t.reply:
 		return said.response(r), nil
--- a/sockets/listener_test.go
+++ b/sockets/listener_test.go
@@ -599,6 +599,27 @@
 	})
 }
 
+// A client that asks and asks and takes no answer holds its descriptor little longer than it was willing to wait.
+func TestAnswersThatAreNotTaken(t *testing.T) {
+	s := newClientSide(t, 64, false)
+	c := s.dial(t)
+	c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	s.server(t, c).SetWriteBuffer(4 << 10)
+	go func() {
+		for { // until the far end has had enough
+			raw := fmt.Sprintf("GET /lookup HTTP/1.1\r\nHost: x\r\nX-Deadline-Ms: 300\r\nX-Request-Id: %x\r\n\r\n", freshID.Add(1))
+			if _, err := io.WriteString(c, raw); err != nil {
+				return
+			}
+		}
+	}()
+	eventually(t, "the connection's end", func() bool {
+		s.front.clients.mu.Lock()
+		defer s.front.clients.mu.Unlock()
+		return len(s.front.clients.in) == 0
+	})
+}
+
 // The listener's own ends are no errors of serving.
 func TestStoppedListener(t *testing.T) {
 	s := newClientSide(t, 64, false)
