A vote's answer that is read after newer news does not put a build on trial again

Cause: where things stand comes in votes' answers and by the stream, on ways of their own, and the module takes what it hears last (wave.hear). Seen by a test before the change: the phase goes back to on trial. Now the launcher's side counts what was told: an answer whose call began before the last news carries what stands, not its own. The stream tells whatever is newer. It holds for dated votes and for calls to an address that was left, too.

--- a/sockets/launcher.go
+++ b/sockets/launcher.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -33,6 +34,10 @@
 	now     *stream            // the one that is believed
 	next    *stream            // the one that is to take its place
 	again   *pace.Again
+
+	mu     sync.Mutex
+	told   int          // how often where things stand has been told
+	latest brain.Staged // as it was told last
 }
 
 // stream is one connection that brings news.
@@ -66,12 +71,40 @@
 
 // tell gives news to the module, and to who else hears it.
 func (l *Launcher) tell(s brain.Staged) {
+	l.mu.Lock()
+	l.told, l.latest = l.told+1, s
 	l.core.urgent.put(s)
+	l.mu.Unlock()
 	if l.also != nil {
 		l.also(s)
 	}
 }
 
+// asOf is how often where things stand has been told by now.
+func (l *Launcher) asOf() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.told
+}
+
+// answered gives a vote's answer to the module. Where things stand comes in answers and by the stream, on ways of their own: an answer
+// that was written before the launcher sent a build back may be read after its news, and would put the build on trial again. What was
+// told since the call began stands, then; the stream tells whatever is newer than that.
+func (l *Launcher) answered(s brain.Staged, since int) brain.Staged {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.Outcome == brain.OK {
+		if l.told > since {
+			latest := l.latest
+			latest.Answer, latest.Outcome = s.Answer, s.Outcome
+			s = latest
+		}
+		l.told, l.latest = l.told+1, s
+	}
+	l.core.urgent.put(s)
+	return s
+}
+
 func at(address string) string { return "http://" + address + "/api/" }
 
 // Move goes to another address. The old stream is read until the new one has brought where things stand.
@@ -231,7 +264,7 @@
 func (l *Launcher) call(ctx context.Context, base string, v brain.Vote) {
 	ctx, stop := context.WithTimeout(ctx, l.patient)
 	defer stop()
-	start := time.Now()
+	start, since := time.Now(), l.asOf()
 	how, s := l.cast(ctx, base, v)
 	s.Answer, s.Outcome = true, how.outcome()
 	if how != Settled {
@@ -239,7 +272,7 @@
 	}
 	slog.Info("vote", "build", v.Build, "stage", v.Stage, "verdict", verdicts[v.Verdict], "ending", how.String(),
 		"ms", time.Since(start).Milliseconds())
-	l.core.urgent.put(s)
+	l.answered(s, since)
 }
 
 func (l *Launcher) cast(ctx context.Context, base string, v brain.Vote) (Ending, brain.Staged) {
@@ -318,12 +351,14 @@
 func (l *Launcher) dated(ctx context.Context, base string, v Dated) {
 	ctx, stop := context.WithTimeout(context.WithValue(ctx, beforeKey{}, v.Before), l.patient)
 	defer stop()
-	start := time.Now()
+	start, since := time.Now(), l.asOf()
 	how, s := l.castBy(ctx, l.once, base, v.Vote)
 	slog.Info("vote", "build", v.Build, "stage", v.Stage, "verdict", verdicts[v.Verdict], "ending", how.String(),
 		"ms", time.Since(start).Milliseconds())
 	if how == Settled {
-		l.tell(s)
+		if s = l.answered(s, since); l.also != nil {
+			l.also(s)
+		}
 	}
 	switch how {
 	case Settled, TurnedAway, Outdated, Refused, NeverUp, NotSent: // all else may yet be carried out
