The lead is passed on beside the drain, not before it

Cause: serve called seat.council.Leave before front.Drain with the drain's own time. Now both go on beside each other (depart), and the end waits for both within the time. Found by reading, not met at work.

--- a/cmd/switchfork/serve.go
+++ b/cmd/switchfork/serve.go
@@ -143,10 +143,11 @@
 	slog.Info("drains")
 	wait, cancel := context.WithTimeout(ctx, min(longest, longestCounts)+killAfter-drainSpare)
 	defer cancel()
+	leave := func(context.Context) {}
 	if seat != nil {
-		seat.council.Leave(wait)
+		leave = seat.council.Leave
 	}
-	if err = front.Drain(wait); err != nil {
+	if err = depart(wait, leave, front.Drain); err != nil {
 		slog.Warn("drained with txns open", "err", err)
 	}
 	if gate != nil {
@@ -156,6 +157,22 @@
 	return nil
 }
 
+// depart passes the lead on and drains, beside each other: a lead that is slow to go, behind a disk or others that are silent, would
+// have the time in which clients are still answered, and leave those it had taken without one.
+func depart(ctx context.Context, leave func(context.Context), drain func(context.Context) error) error {
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		leave(ctx)
+	}()
+	err := drain(ctx)
+	select {
+	case <-left:
+	case <-ctx.Done():
+	}
+	return err
+}
+
 // reload hands on what the file has changed that may change at work; a faulty file leaves all as it is.
 func reload(file *charter.File, roster *sockets.Roster, launcher *sockets.Launcher) *charter.File {
 	next, moved, left, err := file.Reread()
