The half-open wait is the listener's own figure, so that its test decides by order and not by time

TestLingeringGivesItsPlaceUp wanted the next client served in 250 ms, which a busy machine may miss. No change of behaviour.

--- a/sockets/listener.go
+++ b/sockets/listener.go
@@ -247,7 +247,7 @@
 	lingers := c.lingers
 	c.mu.Unlock()
 	if lingers && c.CloseWrite() == nil {
-		c.SetReadDeadline(time.Now().Add(lingerWait))
+		c.SetReadDeadline(time.Now().Add(c.from.lingers))
 		c.raw.Read(func(fd uintptr) bool {
 			var first [1]byte
 			n, _, err := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
@@ -268,6 +268,8 @@
 	core  *Core
 	waits atomic.Bool   // a client waits for another's place
 	ended chan struct{} // closed with the listener
+	// lingers is how long a connection stays half open behind its last answer.
+	lingers time.Duration
 
 	mu     sync.Mutex
 	in     map[*clientConn]bool
@@ -278,7 +280,7 @@
 }
 
 func newClientListener(core *Core, purse *Purse) *clientListener {
-	return &clientListener{core: core, purse: purse, ended: make(chan struct{}), in: map[*clientConn]bool{}, idle: map[*clientConn]time.Time{}}
+	return &clientListener{core: core, purse: purse, ended: make(chan struct{}), lingers: lingerWait, in: map[*clientConn]bool{}, idle: map[*clientConn]time.Time{}}
 }
 
 // placeWait is how often a client without a place looks for others that have fallen idle: a small part of any SLA time. lastLook is how
--- a/sockets/listener_test.go
+++ b/sockets/listener_test.go
@@ -32,6 +32,11 @@
 
 // newClientSide starts one with so many descriptors. With hold, txns stay open until letGo.
 func newClientSide(t *testing.T, descriptors int, hold bool) *clientSide {
+	return lingering(t, descriptors, hold, lingerWait)
+}
+
+// lingering is one whose connections stay half open behind a last answer for so long.
+func lingering(t *testing.T, descriptors int, hold bool, lingers time.Duration) *clientSide {
 	s := &clientSide{rig: newRig(t, time.Second, "127.0.0.1:1", "127.0.0.1:1"), purse: NewPurse(descriptors), ended: make(chan error, 1)}
 	s.do = func(ev brain.Event) []brain.Order {
 		if taken, is := ev.(brain.Taken); is && !hold {
@@ -50,6 +55,7 @@
 	}
 	s.front = NewFront(s.core, []string{"lookup", "posting", "_health"}, []brain.Effect{brain.InquiryLike, brain.Referenced, brain.InquiryLike},
 		[]time.Duration{patience, patience, patience}, nil, 1000, 0, s.purse, 1)
+	s.front.clients.lingers = lingers
 	if err := s.front.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
@@ -336,19 +342,15 @@
 
 // A client that has its last answer and does not close holds its place no longer than another client lets it.
 func TestLingeringGivesItsPlaceUp(t *testing.T) {
-	s := newClientSide(t, 2, false) // clients get one
+	s := lingering(t, 2, false, 10*patience) // clients get one
 	stays := s.dial(t)
 	stays.send("GET /lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: stays\r\nConnection: close\r\n\r\n")
 	stays.answered(503, true)
-	start := time.Now()
 	next := s.dial(t)
 	next.send(request("lookup"))
 	if res, err := http.ReadResponse(next.in, nil); err != nil || res.StatusCode != 503 {
 		t.Fatalf("the next client got %+v, %v", res, err)
 	}
-	if took := time.Since(start); took > lingerWait/2 {
-		t.Errorf("the next client waited for %v", took)
-	}
 }
 
 // A client that goes is seen to go, whether or not it sent something too early before.
