--- a/sockets/agent_test.go
+++ b/sockets/agent_test.go
@@ -466,37 +466,6 @@
 	}
 }
 
-// However long the deadlines are, a drain ends before SIGKILL comes, with an answer to what is open: that is owed 3.7 s after SIGTERM.
-// The bound leaves a busy machine time and is far below the deadline.
-func TestDrainEndsBeforeTheKill(t *testing.T) {
-	b := newBox(t, mute)
-	a := launch(t, func(conf string) string {
-		return strings.ReplaceAll(conf, `"HardLimitMs":2000.0`, `"HardLimitMs":30000.0`)
-	}, host("s-1", b.Addr(), "active", 41))
-	a.healthy(t)
-	open := make(chan answered, 1)
-	go func() {
-		got, _ := a.try(context.Background(), "POST", "/posting", "")
-		open <- got
-	}()
-	eventually(t, "the copy", func() bool { return len(b.Got()) == 1 })
-	start := time.Now()
-	if err := a.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	if got := <-open; got.status != 504 {
-		t.Errorf("the open one got %+v", got)
-	}
-	select {
-	case err := <-a.exit:
-		if took := time.Since(start); err != nil || took > 10*time.Second {
-			t.Errorf("ended after %v with %v", took, err)
-		}
-	case <-time.After(patience):
-		t.Error("did not end")
-	}
-}
-
 // With hardly any descriptors and far more clients, every txn has its answer, and then all is well again.
 func TestMoreClientsThanDescriptors(t *testing.T) {
 	let := make(chan struct{})
--- a/sockets/listener_test.go
+++ b/sockets/listener_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -90,8 +91,9 @@
 	return &client{c, t, bufio.NewReader(c)}
 }
 
+// request is of one length for a path, so that what has been sent of one can be told by what is left.
 func request(path string) string {
-	return fmt.Sprintf("GET /%s HTTP/1.1\r\nHost: x\r\nX-Request-Id: %x\r\n\r\n", path, freshID.Add(1))
+	return fmt.Sprintf("GET /%s HTTP/1.1\r\nHost: x\r\nX-Request-Id: %08x\r\n\r\n", path, freshID.Add(1))
 }
 
 func (c *client) send(raw string) {
@@ -284,6 +286,37 @@
 	}
 }
 
+// However long the deadlines are, a drain ends before SIGKILL comes, with an answer to what is open: that is owed 3.7 s after SIGTERM.
+// The bound leaves a busy machine time and is far below the deadline.
+func TestDrainEndsBeforeTheKill(t *testing.T) {
+	b := newBox(t, mute)
+	a := launch(t, func(conf string) string {
+		return strings.ReplaceAll(conf, `"HardLimitMs":2000.0`, `"HardLimitMs":30000.0`)
+	}, host("s-1", b.Addr(), "active", 41))
+	a.healthy(t)
+	open := make(chan answered, 1)
+	go func() {
+		got, _ := a.try(context.Background(), "POST", "/posting", "")
+		open <- got
+	}()
+	eventually(t, "the copy", func() bool { return len(b.Got()) == 1 })
+	start := time.Now()
+	if err := a.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-open; got.status != 504 {
+		t.Errorf("the open one got %+v", got)
+	}
+	select {
+	case err := <-a.exit:
+		if took := time.Since(start); err != nil || took > 10*time.Second {
+			t.Errorf("ended after %v with %v", took, err)
+		}
+	case <-time.After(patience):
+		t.Error("did not end")
+	}
+}
+
 // Neither a shortage nor the crowd of idle ones nor the clock ends a connection of which a byte has been read or waits to be read, and
 // the one that carries nothing is what ends.
 func TestRetiringLeavesARequestAlone(t *testing.T) {
