Trial rig: a killed agent's connection is no crossing, also when the next process has begun

Agent 3 was killed at 0.59 s with the fee on it, as the night wants; the client asked whether the agent's newest process is over when the next one had been entered (0.599 s), took the end for a close that crossed its request, was refused, and went to agent 1. The client broke the protocol, no agent: rig.killed looked at the newest process only. Now a connection knows when it was dialed, and a process of that time that is over and was not told to leave counts. What ended after SIGTERM is judged as before, so nothing is forgiven an agent.

--- a/rehearsal/trial/clients.go
+++ b/rehearsal/trial/clients.go
@@ -72,14 +72,15 @@
 	lost    atomic.Int64 // txns for which there was no place: the night's own fault
 	places  []chan struct{}
 	living  func() []int
-	killed  func(agent int) bool // its process is over: what ended on a connection to it may have been read
+	// killed tells that an agent's process that lived at a time is over: what ended on a connection to it may have been read.
+	killed func(agent int, at links.Micros) bool
 }
 
 // connsMost bounds a load's connections to one agent, well under what an agent with 1,024 descriptors lets in; triesMost
 // is what a client makes of a txn in all, as the users' do.
 const connsMost, triesMost = 300, 3
 
-func newCrowd(now links.Clock, urls []string, living func() []int, killed func(int) bool) *crowd {
+func newCrowd(now links.Clock, urls []string, living func() []int, killed func(int, links.Micros) bool) *crowd {
 	c := &crowd{now: now, urls: urls, idle: make([][]*clientConn, len(urls)), living: living, killed: killed}
 	for range urls {
 		c.places = append(c.places, make(chan struct{}, connsMost))
@@ -90,6 +91,7 @@
 type clientConn struct {
 	net.Conn
 	r    *bufio.Reader
+	at   links.Micros // it was dialed
 	used bool
 }
 
@@ -234,7 +236,7 @@
 		}
 		crossed := k.used && k.r.Buffered() == 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
 		k.Close()
-		if crossed && time.Since(began) < left && !c.killed(agent) { // the connection's end crossed the request
+		if crossed && time.Since(began) < left && !c.killed(agent, k.at) { // the connection's end crossed the request
 			t.Sent = -1
 			continue
 		}
@@ -262,11 +264,12 @@
 		}
 		k.Close()
 	}
+	at := c.now()
 	nc, err := net.DialTimeout("tcp", strings.TrimPrefix(c.urls[agent], "http://"), time.Second)
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: nc, r: bufio.NewReader(nc)}, nil
+	return &clientConn{Conn: nc, r: bufio.NewReader(nc), at: at}, nil
 }
 
 // peek looks what has come on a connection at rest.
--- a/rehearsal/trial/rig.go
+++ b/rehearsal/trial/rig.go
@@ -344,12 +344,16 @@
 	return out
 }
 
-// killed tells whether an agent's newest process is over.
-func (r *Rig) killed(agent int) bool {
+// killed tells whether an agent's newest process is over, or one that was not told to leave and lived at a time: the next may have begun
+// by now.
+func (r *Rig) killed(agent int, at links.Micros) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := len(r.agents[agent].lives)
-	return n == 0 || r.agents[agent].lives[n-1].To >= 0
+	lives := r.agents[agent].lives
+	n := len(lives)
+	return n == 0 || lives[n-1].To >= 0 || slices.ContainsFunc(lives, func(l Life) bool {
+		return l.From <= at && l.To >= at && l.Left < 0
+	})
 }
 
 func (r *Rig) note(who, form string, what ...any) {
--- a/rehearsal/trial/rules_test.go
+++ b/rehearsal/trial/rules_test.go
@@ -176,3 +176,13 @@
 		t.Errorf("a night that expects nothing: %v", err)
 	}
 }
+
+// A connection's end is a kill's also when the next process has begun by the time it is looked at; one that was told to leave is none.
+func TestKilledByNow(t *testing.T) {
+	r := &Rig{agents: []*agent{{lives: []Life{{From: 10, To: 50, Left: -1}, {From: 51, To: 80, Left: 70}, {From: 81, To: -1, Left: -1}}}}}
+	for at, want := range map[links.Micros]bool{20: true, 50: true, 60: false, 90: false} {
+		if got := r.killed(0, at); got != want {
+			t.Errorf("a connection of %d: killed %v, want %v", at, got, want)
+		}
+	}
+}
