--- a/internal/endtoend/routing_test.go
+++ b/internal/endtoend/routing_test.go
@@ -199,3 +199,23 @@
 	}
 	return len(threads) > 0
 }
+
+// Where endpoints may be told that a request is given up, the attempt of a client that has gone ends with it. What happened: the policy
+// closes such a request but returns no CancelAttempt, so that the attempt holds its connection and its place at the endpoint to its
+// deadline, 2.01 s in a trial; impatient clients cost capacity, most of all in an overload.
+func TestAttemptEndsWithItsClient(t *testing.T) {
+	endpoint := agenttest.NewScriptedServer(t, fakes.NeverRespond)
+	agent := startAgent(t, func(config string) string {
+		return strings.Replace(config, `"Probes":true`, `"Probes":true,"Cancel":true`, 1)
+	}, fakes.ListEntry("s-1", endpoint.Addr(), "active", 41))
+	agent.waitHealthy(t)
+	conn := agent.dial(t)
+	send(t, conn, "GET /lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: impatient\r\nX-Deadline-Ms: 2000\r\n\r\n")
+	agenttest.Eventually(t, "the attempt", func() bool { return len(endpoint.Requests()) == 1 })
+	left := time.Now()
+	_ = conn.Close()
+	agenttest.Eventually(t, "the attempt's end", func() bool { return endpoint.Closed() == 1 })
+	if took := time.Since(left); took > time.Second {
+		t.Errorf("the attempt ended %v after its client had left", took)
+	}
+}
