Idle connections of clients are kept until a descriptor is wanted

Callers saw: 150 clients with 0.2 s between requests made 7,456 connections for 7,456 requests in 10 s with 1,024 descriptors, and some requests were reset. Cause: only a tenth of the limit might be idle, and each further client that fell idle ended the one idle longest. Change: idle connections are kept. A client is accepted before it gets a descriptor; while clients wait, as many responses end their connections as clients wait (the system's queue is counted); after 20 ms without such a response the longest idle ones end, an eighth at a time at most; while under a sixteenth of the descriptors is free every response ends its connection, so that endpoints find theirs. Why it holds: the usual end is a response that closes, which no request of its client can cross; others only meet clients that are silent.

--- a/internal/connlimit/budget.go
+++ b/internal/connlimit/budget.go
@@ -13,10 +13,8 @@
 	// those that wait in the kernel's queue stay unread until their deadlines.
 	reservedShare = 0.125
 
-	// idleShare is the most of the limit that idle connections to clients may hold, a few times what traffic needs between two
-	// requests. It guards against clients that send one request and keep the connection: they could leave no descriptor for the next
-	// client until the idle timeout. It costs a handshake where clients come back in turn, the one idle longest first.
-	idleShare = 0.1
+	// freeShare is the part of the limit that is kept free of idle connections to clients, for connections to endpoints.
+	freeShare = 0.0625
 )
 
 // Budget counts the descriptors in use by connections to clients and to endpoints, and bounds them together.
@@ -38,9 +36,11 @@
 	return int((1 - reservedShare) * clientShare * float64(b.limit))
 }
 
-// MaxIdleClients returns how many idle connections to clients may be kept.
-func (b *Budget) MaxIdleClients() int {
-	return max(1, int(idleShare*float64(b.limit)))
+// IsShort reports whether so few descriptors are free that connections to clients should not be kept between two requests.
+func (b *Budget) IsShort() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return float64(b.limit-b.clientConns-b.upstreamConns) < freeShare*float64(b.limit)
 }
 
 // maxClients returns how many connections clients may hold.
--- a/internal/proxy/conn_eviction.go
+++ b/internal/proxy/conn_eviction.go
@@ -1,18 +1,30 @@
 package proxy
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"switchfork/internal/ratelog"
 	"switchfork/internal/upstream"
 )
 
-// silentConnTimeout is how long a connection may be silent while others wait: clients connect to send a request.
-const silentConnTimeout = 250 * time.Millisecond
+const (
+	// silentConnTimeout is how long a connection may be silent while others wait: clients connect to send a request.
+	silentConnTimeout = 250 * time.Millisecond
+	// responseWait is how long a client waits for a response to end a connection before an idle one is ended: its client may be about to
+	// use it, and a response costs it nothing.
+	responseWait = 4 * budgetRetryInterval
+	// minIdleTime keeps connections from being ended on which net/http may have a next request in its buffer.
+	minIdleTime = budgetRetryInterval
+	// idleBatchParts bounds how many idle connections are ended at a time, as a part of all: some of those that wait get the descriptors
+	// of connections that end with their responses.
+	idleBatchParts = 8
+)
 
-// freeConnection makes room for a client: it ends lingering connections, retires those that have sent nothing, or else the one that has
-// been idle longest, and has endpoints close connections that they don't use.
-func (l *clientListener) freeConnection() {
+// freeConnections makes room for clients that wait, the first of them for some time already: it ends lingering connections, retires those
+// that have sent nothing, or else those that have been idle longest, and has endpoints close connections that they don't use.
+func (l *clientListener) freeConnections(waiting int, waited time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -26,11 +38,12 @@
 			freed++
 		}
 	}
-	if freed == 0 {
-		l.retireLongestIdle()
+	retired := 0
+	if freed == 0 && waited >= responseWait {
+		retired = l.retireLongestIdle(min(waiting, 1+len(l.idleSince)/idleBatchParts), now)
 	}
 	ratelog.Warn("door", "no descriptor left for a client", "open", len(l.conns), "idle", len(l.idleSince),
-		"silent", freed)
+		"silent", freed, "retired", retired, "waiting", waiting)
 }
 
 // endIfUnused ends a connection that lingers, or that has sent nothing for some time, and reports whether it did.
@@ -45,21 +58,19 @@
 	return isLingering || isSilent && c.retire()
 }
 
-// retireLongestIdle retires the connection that has been idle longest. The lock is held.
-func (l *clientListener) retireLongestIdle() {
-	for {
-		var oldest *clientConn
-		for c, since := range l.idleSince {
-			if oldest == nil || since.Before(l.idleSince[oldest]) {
-				oldest = c
-			}
-		}
-		if oldest == nil {
-			return
+// retireLongestIdle retires at most so many of the connections that have been idle longest, and returns how many. The lock is held.
+func (l *clientListener) retireLongestIdle(most int, now time.Time) (retired int) {
+	idle := slices.SortedFunc(maps.Keys(l.idleSince), func(a, b *clientConn) int {
+		return l.idleSince[a].Compare(l.idleSince[b])
+	})
+	for _, c := range idle {
+		if retired == most || now.Sub(l.idleSince[c]) < minIdleTime {
+			break
 		}
-		delete(l.idleSince, oldest)
-		if oldest.retire() {
-			return
+		delete(l.idleSince, c)
+		if c.retire() {
+			retired++
 		}
 	}
+	return retired
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -80,9 +80,10 @@
 	ratelog.Warn("request411", "request rejected", "status", http.StatusLengthRequired)
 }
 
-// closeConnIfNeeded has a response end its connection during a drain, and once for each client that waits for a descriptor.
+// closeConnIfNeeded has a response end its connection during a drain, while descriptors for endpoints run short, and once for each client
+// that waits for a descriptor. That is the one end of a connection that no request of its client can cross.
 func (p *Proxy) closeConnIfNeeded(response *http.Response) error {
-	if p.listener.isClientWaiting.CompareAndSwap(true, false) || p.isDraining.Load() {
+	if p.isDraining.Load() || p.budget.IsShort() || p.listener.takeWaitingClient() {
 		response.Header.Set("Connection", "close")
 	}
 	return nil
