A second watch is opened beside a silent one, which is still read

Cause: a silent watch was ended after three heartbeats and opened again after a pause, 6.06 s after its last line; what it missed may count as known after 6 s. The first line of either decides which one stays; a second that is silent too is replaced, one whose first has ended stays, a move ends it. Why it holds: the second is sent all changes after the version in force, and the first is not closed before it has shown that it is there; a first that was slow loses nothing. Cost: one more list call for each 4 s of silence. Looked elsewhere: rollout.Client opens a second stream beside a silent one already.

--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -75,6 +75,9 @@
 	return b.randomDelay(min(b.maxOverloadDelay/2, Micros(agents-1)*startSpacing))
 }
 
+// Spread returns a random delay below a limit, for a call that many agents make for the same reason at the same time.
+func (b *Backoff) Spread(limit Micros) Micros { return b.randomDelay(limit) }
+
 // Next returns the delay before the next call. After Unreachable it grows exponentially from 50 ms, with jitter. After Overloaded
 // it uses decorrelated jitter: callers that were rejected together spread out within a few retries, over a longer time the
 // longer the service stays overloaded.
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -18,7 +18,10 @@
 	mailbox   *mailbox.Mailbox[message]
 	watching  watchConfig
 	publisher *listPublisher
+	address   string   // of the current watcher
 	current   *watcher // whose lists are published
+	// successor is a watcher beside a current one that is silent; nil where there is none. See successor.go.
+	successor *watcher
 	// pending watches the address that is to take the current one's place; nil while there is no move.
 	pending *watcher
 	// pendingList is what the pending watcher has received. It is published when that watcher becomes the current one.
@@ -34,6 +37,7 @@
 		loop:      loop,
 		mailbox:   mailbox.New[message](),
 		publisher: newListPublisher(loop, zones),
+		address:   address,
 	}
 	c.watching = watchConfig{
 		httpClient: streamclient.NewHTTPClient(dialTimeout, loop.UnreadInput()),
@@ -75,6 +79,7 @@
 // Serve handles the mailbox until the context ends.
 func (c *Client) Serve(ctx context.Context) {
 	c.loop.AddReader(func(barrier agent.Barrier) { c.mailbox.Put(barrierReceived{barrier}) })
+	c.current.delayAsOneOfAll()
 	c.current.start(ctx)
 	for {
 		select {
@@ -93,9 +98,14 @@
 	case listReceived:
 		c.handleList(received)
 	case heartbeatReceived:
+		c.handleLine(received.from)
 		if received.from == c.pending {
 			c.promotePending()
 		}
+	case watchSilent:
+		c.handleSilence(ctx, received.from)
+	case watcherEnded:
+		c.handleWatcherEnd(ctx, received.from)
 	case barrierReceived:
 		close(received.Done)
 	case addressChanged:
@@ -106,6 +116,7 @@
 // handleList publishes a list of the current watcher, and collects those of the pending one until they are as new as what is in force.
 // Lists of watchers that have been replaced are dropped.
 func (c *Client) handleList(received listReceived) {
+	c.handleLine(received.from)
 	switch received.from {
 	case c.pending:
 		c.pendingList = c.pendingList.Merge(received.list)
@@ -119,10 +130,12 @@
 
 // openPending starts a watcher at another address. The current watch is left to end by itself.
 func (c *Client) openPending(ctx context.Context, address string) {
+	c.dropSuccessor()
 	c.current.retire()
 	if c.pending != nil {
 		c.pending.cancel()
 	}
+	c.address = address
 	c.pending = newWatcher(c.watching, address)
 	c.pendingList = protocol.List{}
 	c.pending.needsFullList = true
--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -17,6 +17,12 @@
 // heartbeatReceived is a heartbeat on a watch: the watcher has been sent all that its discovery knows at present.
 type heartbeatReceived struct{ from *watcher }
 
+// watchSilent tells that a watch has had no line for the silence timeout.
+type watchSilent struct{ from *watcher }
+
+// watcherEnded tells that a watcher that was retired has ended with its watch.
+type watcherEnded struct{ from *watcher }
+
 // addressChanged asks for a move to another address.
 type addressChanged struct{ address string }
 
@@ -25,5 +31,7 @@
 
 func (listReceived) isMessage()      {}
 func (heartbeatReceived) isMessage() {}
+func (watchSilent) isMessage()       {}
+func (watcherEnded) isMessage()      {}
 func (addressChanged) isMessage()    {}
 func (barrierReceived) isMessage()   {}
--- a/internal/discovery/rig_test.go
+++ b/internal/discovery/rig_test.go
@@ -82,6 +82,16 @@
 	return false
 }
 
+// readList decodes a list document.
+func readList(t *testing.T, document string) protocol.List {
+	t.Helper()
+	list, err := protocol.ReadList([]byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
 // firstHost is the list entry of the host "box".
 func firstHost(health string, build int) string {
 	return fakes.ListEntry("box", "127.0.0.1:1", health, build)
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -20,10 +20,11 @@
 const (
 	// heartbeatInterval is the protocol's interval of heartbeats on a watch.
 	heartbeatInterval = 2 * time.Second
-	// heartbeatTimeout ends a watch that has been silent for three heartbeats. By then the control plane may already count on the agent
-	// knowing the changes that a silent watch misses, with no time left for a pause, a connection and reading the list. A timeout of two
-	// heartbeats cut off a discovery that was merely slow, by 3 s, in the middle of a list (fault scenario discovery-slow). The way out is
-	// to open a second watch beside the first, which is not done yet.
+	// silenceTimeout is after how long without a line a watch is reported as silent, so that another one is opened beside it. What a silent
+	// watch misses counts as known after three heartbeats, which leaves one for the pause, the connection and the list.
+	silenceTimeout = 2 * heartbeatInterval
+	// heartbeatTimeout ends a watch. It is longer than a discovery takes that is merely slow: a watch that was ended after silenceTimeout
+	// was cut off in the middle of a list that came 3 s late (fault scenario discovery-slow).
 	heartbeatTimeout = 3 * heartbeatInterval
 	// maxListSize has room for the whole list of a large fleet, on one line or over many.
 	maxListSize = 4 << 20
@@ -46,17 +47,19 @@
 	seed       int64
 }
 
-// watcher keeps a watch open at one address. Whenever the watch ends, it is opened again from the last version that was received.
+// watcher keeps a watch open at one address. Whenever the watch ends, it is opened again from the last version that was received, until the
+// watcher is retired.
 type watcher struct {
 	watchConfig
 	listURL       string
 	version       uint64 // of the last list received
 	needsFullList bool   // the whole list has to be fetched before the next watch
+	startDelay    backoff.Micros
 	backoff       *backoff.Backoff
 	cancel        context.CancelFunc
 
 	mu      sync.Mutex
-	retired bool // the address has been left: a watch that ends is not opened again
+	retired bool // another watcher is to take its place: a watch that ends is not opened again
 }
 
 func newWatcher(config watchConfig, address string) *watcher {
@@ -68,6 +71,13 @@
 	}
 }
 
+// delayAsOneOfAll sets the first call's delay by the number of agents that start together. An agent without any list calls at once.
+func (w *watcher) delayAsOneOfAll() {
+	if w.version > 0 || !w.needsFullList {
+		w.startDelay = w.backoff.Initial(w.agentCount)
+	}
+}
+
 // start runs the watcher in a goroutine until cancel is called or the context ends.
 func (w *watcher) start(ctx context.Context) {
 	ctx, w.cancel = context.WithCancel(ctx)
@@ -75,9 +85,14 @@
 }
 
 // retire lets the open watch go on, but has no other opened after it.
-func (w *watcher) retire() {
+func (w *watcher) retire() { w.setRetired(true) }
+
+// resume has a retired watcher open its watch again once it ends. Where it has ended already, watcherEnded has been reported.
+func (w *watcher) resume() { w.setRetired(false) }
+
+func (w *watcher) setRetired(retired bool) {
 	w.mu.Lock()
-	w.retired = true
+	w.retired = retired
 	w.mu.Unlock()
 }
 
@@ -88,9 +103,12 @@
 }
 
 func (w *watcher) run(ctx context.Context) {
-	if w.version > 0 || !w.needsFullList { // the configured list will do for a moment
-		streamclient.Sleep(ctx, w.backoff.Initial(w.agentCount))
-	}
+	defer func() {
+		if ctx.Err() == nil {
+			w.report(watcherEnded{from: w})
+		}
+	}()
+	streamclient.Sleep(ctx, w.startDelay)
 	for ctx.Err() == nil && !w.isRetired() {
 		start := time.Now()
 		if w.needsFullList {
@@ -150,11 +168,14 @@
 func (w *watcher) watch(ctx context.Context) (received int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(heartbeatTimeout, cancel)
+	silence := time.AfterFunc(silenceTimeout, func() { w.report(watchSilent{from: w}) })
 	defer silence.Stop()
+	timeout := time.AfterFunc(heartbeatTimeout, cancel)
+	defer timeout.Stop()
 	url := fmt.Sprintf("%s?stream=1&index=%d", w.listURL, w.version)
 	err = w.readLists(ctx, url, func(raw []byte) error {
-		silence.Reset(heartbeatTimeout)
+		silence.Reset(silenceTimeout)
+		timeout.Reset(heartbeatTimeout)
 		received++
 		return w.handleWatched(raw, received == 1)
 	})
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -104,7 +104,8 @@
 }
 
 // A watch that falls silent is opened again well before the control plane counts on the agent knowing what the watch has missed, 6 s after
-// its last line.
+// its last line. What happened: a silent watch was ended after three heartbeats and opened again after a pause, 6.06 s after its last line.
+// Ending it after two cut off a discovery that was 3 s slow in the middle of its list; now a second watch is opened beside it then.
 func TestSilentWatchIsReopened(t *testing.T) {
 	drainingList := fakes.ListDocument(6, false, firstHost("leaving", 1))
 	server := agenttest.NewStreamServer(t, "\n", time.Hour, func(string) string { return "\n" })
