A replica whose storage failed voids its ballot and casts nothing

Cause: StopParticipating left the ballot in hand, which a late Accepted won; the coordinator took every later Persist as carried out. Change: the ballot is void. The coordinator of a failed store casts nothing and holds back what follows a Persist; its own stop of a bad build, which was dropped with the rest, takes effect. Why it holds: every way to a lease counts answers to the candidate's ballot, and each of them asks for one that is not void.

--- a/internal/cluster/coordinator/commands.go
+++ b/internal/cluster/coordinator/commands.go
@@ -27,29 +27,35 @@
 // execute carries the replica's commands out in order. It works on a copy, since the replica uses its slice again at the next
 // call.
 func (c *Coordinator) execute(commands []election.Command) {
+	isStored := true // messages and votes behind a Persist rely on the state being stored
 	for _, command := range slices.Clone(commands) {
 		switch command := command.(type) {
 		case election.Persist:
-			if !c.persist(command.DurableState) {
-				return // the commands that follow rely on the state being stored
-			}
+			isStored = c.persist(command.DurableState)
 		case election.SendMessage:
-			c.metrics.messagesSent.Inc()
-			c.transport.Send(command.To, transport.Encode(c.group, c.index, command.Message))
+			if isStored {
+				c.metrics.messagesSent.Inc()
+				c.transport.Send(command.To, transport.Encode(c.group, c.index, command.Message))
+			}
 		case election.CastVote:
-			c.castVote(command)
-		case election.SelfStop:
+			if isStored && !c.storeFailed {
+				c.castVote(command)
+			}
+		case election.SelfStop: // concerns this agent alone
 			c.selfStop(command)
 		}
 	}
 }
 
-// persist saves the state where there is a store, and tells whether the commands after it may be executed. Once a save has failed
+// persist saves the state where there is a store, and tells whether the messages and votes after it may go out. Once a save has failed
 // the replica takes no part any more.
 func (c *Coordinator) persist(state election.DurableState) bool {
-	if c.store == nil || c.storeFailed {
+	if c.store == nil {
 		return true
 	}
+	if c.storeFailed {
+		return false
+	}
 	if err := c.store.Save(state); err != nil {
 		c.storeFailed = true
 		slog.Error("state not saved: this replica stops participating", "err", err)
--- a/internal/cluster/coordinator/commands_test.go
+++ b/internal/cluster/coordinator/commands_test.go
@@ -70,6 +70,29 @@
 	}
 }
 
+// After a failed save no vote is cast, and nothing that relies on a state is sent; the agent's own stop of a build still takes effect.
+func TestFailedStoreCastsNothing(t *testing.T) {
+	var casts int
+	var updates []policy.RolloutUpdate
+	c, sent := newTestCoordinator(&fakeStore{err: errors.New("disk full")}, Callbacks{
+		CastVote:      func(policy.Vote, time.Time, func(bool)) { casts++ },
+		UpdateRollout: func(update policy.RolloutUpdate) { updates = append(updates, update) },
+	})
+	decision := election.Decision{Build: 4, Stage: 1, Verdict: election.Rollback}
+	for range 2 {
+		c.execute([]election.Command{
+			election.Persist{},
+			election.SendMessage{To: 1, Message: election.Message{Kind: election.Promise}},
+			election.CastVote{},
+			election.SelfStop{Decision: decision, Stop: true},
+		})
+	}
+	c.execute([]election.Command{election.CastVote{}})
+	if casts != 0 || len(sent.receivers) != 0 || len(updates) != 2 || updates[0].Cap != 0 {
+		t.Errorf("%d votes cast, sent to %v, updates %+v", casts, sent.receivers, updates)
+	}
+}
+
 // An agent's own stop sets the build's traffic cap to zero, again after each update of that stage, and its end restores the update.
 func TestSelfStopCapsTraffic(t *testing.T) {
 	var updates []policy.RolloutUpdate
--- a/internal/cluster/election/replica.go
+++ b/internal/cluster/election/replica.go
@@ -135,10 +135,12 @@
 	return s
 }
 
-// StopParticipating withdraws the replica after its stable storage has failed: it promises and accepts nothing any more.
+// StopParticipating withdraws the replica after its stable storage has failed: it promises and accepts nothing any more. Its own ballot is
+// void, too: an acceptance that is on its way would make it leader, and it would cast votes of which it keeps no record.
 func (r *Replica) StopParticipating(now Micros) {
 	r.beginCall(now)
 	r.leader.leaseUntil = 0
+	r.candidate.abandon()
 	r.votes.pending = Record{}
 	r.acceptor.abstainUntil = forever
 }
