The agent's own messages to the coordinator never wait behind other agents' frames

Cause: one channel with room for 1,024 held frames of other agents and the agent's own messages; behind a full one, or after Serve had ended, Recommend, UpdateRollout and a vote's reply waited for room. Change: own messages go into a mailbox that never waits; only frames have a bounded channel and are dropped beyond it, as before. Why it holds: no call of another goroutine into the coordinator contains a send on a channel that can be full any more, except Receive, which drops. TestVoteIsCastAndResolved looks at the mailbox in its new form.

--- a/internal/cluster/coordinator/commands.go
+++ b/internal/cluster/coordinator/commands.go
@@ -83,7 +83,7 @@
 			c.metrics.votesRefused.Inc()
 			slog.Warn("vote expired before it was written", "term", record.Term, "index", record.Index)
 		}
-		c.mailbox <- voteResolved{record}
+		c.mailbox.Put(voteResolved{record})
 	})
 }
 
--- a/internal/cluster/coordinator/commands_test.go
+++ b/internal/cluster/coordinator/commands_test.go
@@ -142,24 +142,23 @@
 	if written, refused := c.metrics.votesCast.Get(), c.metrics.votesRefused.Get(); written != 1 || refused != 1 {
 		t.Errorf("counted %d written, %d refused", written, refused)
 	}
-	for range 2 {
-		if resolved := <-c.mailbox; resolved != (voteResolved{record}) {
-			t.Errorf("the mailbox holds %+v", resolved)
-		}
+	resolutions := []message{voteResolved{record}, voteResolved{record}}
+	if resolved := c.mailbox.Take(nil); !slices.Equal(resolved, resolutions) {
+		t.Errorf("the mailbox holds %+v", resolved)
 	}
 }
 
-// Frames that can't be used, or find no room in the mailbox, are counted as dropped.
+// Frames that can't be used, or find no room, are counted as dropped.
 func TestDroppedFrames(t *testing.T) {
 	c, _ := newTestCoordinator(nil, Callbacks{})
 	message := election.Message{Kind: election.Nack}
 	for _, frame := range [][]byte{{1, 2, 3}, transport.Encode(testGroup+1, 1, message), transport.Encode(testGroup, 0, message)} {
-		receivedFrame{frame}.handle(c)
+		c.receive(frame)
 	}
 	if dropped, received := c.metrics.messagesDropped.Get(), c.metrics.messagesReceived.Get(); dropped != 3 || received != 0 {
 		t.Errorf("%d dropped, %d received", dropped, received)
 	}
-	receivedFrame{transport.Encode(testGroup, 1, message)}.handle(c)
+	c.receive(transport.Encode(testGroup, 1, message))
 	for range mailboxCapacity + 2 {
 		c.Receive(nil)
 	}
--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -4,7 +4,7 @@
 // timer and the metrics, and serves the admin address.
 //
 // The goroutine that calls Coordinator.Serve owns the replica and all state that depends on it. All other methods may be called
-// from any goroutine: they put a message into the mailbox, and where they return a result they wait for the answer.
+// from any goroutine: they put a message into the mailbox, which never waits, and where they return a result they wait for the answer.
 package coordinator
 
 import (
@@ -12,6 +12,7 @@
 	"time"
 
 	"switchfork/internal/cluster/election"
+	"switchfork/internal/mailbox"
 	"switchfork/internal/policy"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,8 +30,7 @@
 // Callbacks are what the coordinator calls in the rest of the agent.
 type Callbacks struct {
 	// CastVote sends a vote to the rollout controller, unless it can't be written before the given time. resolved is called once
-	// the vote is known to have been carried out, or known never to be; written tells whether it was sent at all. resolved may
-	// wait for room in the mailbox, so it must not be called from within CastVote.
+	// the vote is known to have been carried out, or known never to be; written tells whether it was sent at all.
 	CastVote func(vote policy.Vote, writeBefore time.Time, resolved func(written bool))
 	// UpdateRollout gives the routing policy the state of a rollout.
 	UpdateRollout func(policy.RolloutUpdate)
@@ -46,8 +46,7 @@
 	Seed     int64
 }
 
-// mailboxCapacity bounds the messages that wait. Beyond it, messages of other agents are dropped, and callers within this agent
-// wait.
+// mailboxCapacity bounds the frames of other agents that wait; beyond it they are dropped.
 const mailboxCapacity = 1024
 
 // Coordinator drives one replica.
@@ -59,7 +58,8 @@
 	store         Store // nil: this agent has no state folder
 	callbacks     Callbacks
 	startedAt     time.Time
-	mailbox       chan message
+	mailbox       *mailbox.Mailbox[message] // what this agent's own parts say: they must not wait, and say little
+	frames        chan []byte               // of other agents
 	metrics       *replicaMetrics
 
 	// Owned by the goroutine of Serve.
@@ -84,7 +84,8 @@
 		store:         store,
 		callbacks:     callbacks,
 		startedAt:     time.Now(),
-		mailbox:       make(chan message, mailboxCapacity),
+		mailbox:       mailbox.New[message](),
+		frames:        make(chan []byte, mailboxCapacity),
 		metrics:       newReplicaMetrics(),
 	}
 	mustAbstain := config.State == nil
@@ -104,7 +105,7 @@
 	return c.startedAt.Add(time.Duration(at-1) * time.Microsecond)
 }
 
-// Serve handles timer and mailbox until the context ends, and then closes the store.
+// Serve handles timer, mailbox and frames until the context ends, and then closes the store.
 func (c *Coordinator) Serve(ctx context.Context) {
 	timer := time.NewTimer(0)
 	for {
@@ -115,8 +116,12 @@
 		case <-timer.C:
 			c.tick()
 			timer.Reset(time.Duration(c.replica.NextTick()-c.now()) * time.Microsecond)
-		case received := <-c.mailbox:
-			received.handle(c)
+		case <-c.mailbox.Ready():
+			for _, received := range c.mailbox.Take(nil) {
+				received.handle(c)
+			}
+		case frame := <-c.frames:
+			c.receive(frame)
 		}
 		c.recordLeadership()
 	}
--- a/internal/cluster/coordinator/mailbox.go
+++ b/internal/cluster/coordinator/mailbox.go
@@ -19,9 +19,6 @@
 	handle(*Coordinator)
 }
 
-// receivedFrame is an encoded message of another agent.
-type receivedFrame struct{ frame []byte }
-
 // localVote is the vote that this agent's release analyzer recommends.
 type localVote struct{ vote policy.Vote }
 
@@ -46,27 +43,28 @@
 // noAgent in place of an agent's index.
 const noAgent = -1
 
-// Receive takes an encoded message of another agent. It is dropped if the mailbox is full.
+// Receive takes an encoded message of another agent. It is dropped if too many wait.
 func (c *Coordinator) Receive(frame []byte) {
 	select {
-	case c.mailbox <- receivedFrame{frame}:
+	case c.frames <- frame:
 	default:
 		c.metrics.messagesDropped.Inc()
 	}
 }
 
-// Recommend takes the vote that this agent's release analyzer would cast.
-func (c *Coordinator) Recommend(vote policy.Vote) { c.mailbox <- localVote{vote} }
+// Recommend takes the vote that this agent's release analyzer would cast. The event loop calls it, and the whole agent stands still while
+// the event loop waits: when frames of other agents shared a bounded channel with it, a full one blocked the agent for good.
+func (c *Coordinator) Recommend(vote policy.Vote) { c.mailbox.Put(localVote{vote}) }
 
 // UpdateRollout takes the rollout controller's report.
-func (c *Coordinator) UpdateRollout(update policy.RolloutUpdate) { c.mailbox <- rolloutUpdate{update} }
+func (c *Coordinator) UpdateRollout(update policy.RolloutUpdate) {
+	c.mailbox.Put(rolloutUpdate{update})
+}
 
 // Leave hands the lease over, if this agent holds it, and returns when the handover has been sent to the other agents, or the context ends.
 func (c *Coordinator) Leave(ctx context.Context) {
 	done := make(chan struct{})
-	if c.enqueue(ctx, leaveRequest{done}) != nil {
-		return
-	}
+	c.mailbox.Put(leaveRequest{done})
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -76,9 +74,7 @@
 // Status returns the replica's status.
 func (c *Coordinator) Status(ctx context.Context) (election.Status, error) {
 	answer := make(chan election.Status, 1)
-	if err := c.enqueue(ctx, statusRequest{answer}); err != nil {
-		return election.Status{}, err
-	}
+	c.mailbox.Put(statusRequest{answer})
 	select {
 	case status := <-answer:
 		return status, nil
@@ -90,9 +86,7 @@
 // ChangeMembers adds one member and removes another; -1 stands for none.
 func (c *Coordinator) ChangeMembers(ctx context.Context, added, removed int) error {
 	answer := make(chan error, 1)
-	if err := c.enqueue(ctx, memberChange{added, removed, answer}); err != nil {
-		return err
-	}
+	c.mailbox.Put(memberChange{added, removed, answer})
 	select {
 	case err := <-answer:
 		return err
@@ -101,19 +95,10 @@
 	}
 }
 
-// enqueue waits for room in the mailbox until the context ends.
-func (c *Coordinator) enqueue(ctx context.Context, m message) error {
-	select {
-	case c.mailbox <- m:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-func (m receivedFrame) handle(c *Coordinator) {
+// receive handles a frame of another agent. It runs on the goroutine of Serve.
+func (c *Coordinator) receive(frame []byte) {
 	now := c.now()
-	from, decoded, err := transport.Decode(c.group, m.frame)
+	from, decoded, err := transport.Decode(c.group, frame)
 	if err != nil || from == c.index {
 		c.metrics.messagesDropped.Inc()
 		return
