The admin socket is made where no other user can reach it

Callers saw: nothing reported; another local user could connect in the moment between the socket's opening and the change of its mode. Cause: net.Listen makes a socket with the umask's permissions, os.Chmod came after it. Change: the socket is made in a temporary folder that only the agent's user may enter, gets its mode, and is moved to its path. Why it holds: at no time is there a name that others can reach with other permissions than 0600. Looked elsewhere: the state folder and its file are made with their modes in one call.

--- a/internal/cluster/coordinator/admin_server.go
+++ b/internal/cluster/coordinator/admin_server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"time"
 
@@ -18,6 +19,10 @@
 	adminTimeout = 2 * time.Second
 	// adminSocketMode: only the agent's own user may ask it.
 	adminSocketMode = 0o600
+	// privateFolderPattern and privateSocketName name where the socket is made. They are short, as the path of a socket may have some
+	// hundred bytes only.
+	privateFolderPattern = ".a*"
+	privateSocketName    = "s"
 )
 
 // Resources of the admin address.
@@ -67,15 +72,50 @@
 	if info, err := os.Lstat(path); err == nil && info.Mode()&os.ModeSocket != 0 {
 		_ = os.Remove(path) // if it stays, Listen says why the address can't be used
 	}
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "unix", path)
+	listener, err := listenPrivately(ctx, path)
 	if err != nil {
 		return nil, fmt.Errorf("admin address: %w", err)
 	}
-	if err = os.Chmod(path, adminSocketMode); err != nil {
+	return listener, nil
+}
+
+// listenPrivately opens a Unix socket that only the agent's own user can ever have connected to. The system makes a socket with the
+// permissions of the umask, so it is made in a folder that is closed to others, and moved to its path when its mode is set.
+func listenPrivately(ctx context.Context, path string) (net.Listener, error) {
+	folder, err := os.MkdirTemp(filepath.Dir(path), privateFolderPattern)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(folder) }() // it is empty, or the error says why not
+	private := filepath.Join(folder, privateSocketName)
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "unix", private)
+	if err != nil {
+		return nil, err
+	}
+	listener.(*net.UnixListener).SetUnlinkOnClose(false) // it would remove the name that the socket had at first
+	if err = os.Chmod(private, adminSocketMode); err == nil {
+		err = os.Rename(private, path)
+	}
+	if err != nil {
 		_ = listener.Close() // the first error is the one to report
-		return nil, fmt.Errorf("admin address: %w", err)
+		return nil, err
 	}
-	return listener, nil
+	return &movedListener{listener, path}, nil
+}
+
+// movedListener removes the name that its socket was moved to when it is closed.
+type movedListener struct {
+	net.Listener
+	path string
+}
+
+// Close closes the listener. Only its first call removes the name, which may be another process's by the next.
+func (l *movedListener) Close() error {
+	err := l.Listener.Close()
+	if err == nil {
+		_ = os.Remove(l.path) // a socket that is left behind is replaced at the next start
+	}
+	return err
 }
 
 // isServed tells whether a process accepts connections at the socket. An ended context would look like a socket that nobody
