The new tests are clean for the linter

Cause: the linter found a dial without a context and a reversed argument in two tests of known failures. Change: the same checks, written as it asks.

--- a/internal/config/numbers_test.go
+++ b/internal/config/numbers_test.go
@@ -61,7 +61,7 @@
 	for line := range strings.Lines(numericSettings) {
 		key, value, _ := strings.Cut(strings.TrimSpace(line), "=")
 		first, rest, isList := strings.Cut(value, ",")
-		if !strings.Contains("0123456789", first[:1]) {
+		if first[0] < '0' || first[0] > '9' {
 			continue
 		}
 		for _, number := range append([]string{"0"}, faultyNumbers...) {
--- a/internal/endtoend/kept_connections_test.go
+++ b/internal/endtoend/kept_connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -70,7 +71,8 @@
 			conn = nil
 		}
 		if conn == nil {
-			dialed, err := net.DialTimeout("tcp", c.address, time.Second)
+			dialer := net.Dialer{Timeout: time.Second}
+			dialed, err := dialer.DialContext(context.Background(), "tcp", c.address)
 			if err != nil {
 				return
 			}
