Every number in the settings has bounds, and a faulty one is refused by its key

Callers saw: no start and a stack trace for a negative or huge Parties.count; an agent that decides by NaN for one in StageCap. Cause: the count of tenants was converted unchecked, numbers without a unit had no upper and mostly no lower bound, lists no check at all. Change: counts, times, figures and lists of figures are each read by one function with bounds. checkCosts is gone, its bound is the same. Why it holds: no other function reads a number of the settings (Settings.float has no other callers).

--- a/internal/config/agent.go
+++ b/internal/config/agent.go
@@ -48,9 +48,9 @@
 // ResourceLimits reads the limits, with defaults for those that the file leaves out.
 func (f *File) ResourceLimits() ResourceLimits {
 	limits := ResourceLimits{
-		Cores:    f.floatOrDefault(keyCores, defaultCores),
-		MemoryMB: int(f.floatOrDefault(keyMemoryMB, defaultMemoryMB)),
-		Sockets:  int(f.floatOrDefault(keySockets, defaultSockets)),
+		Cores:    f.figureOrDefault(keyCores, defaultCores),
+		MemoryMB: int(f.figureOrDefault(keyMemoryMB, defaultMemoryMB)),
+		Sockets:  int(f.figureOrDefault(keySockets, defaultSockets)),
 	}
 	if limits.Cores <= 0 {
 		f.recordError(keyCores, "is %v", limits.Cores)
--- a/internal/config/classes.go
+++ b/internal/config/classes.go
@@ -50,7 +50,7 @@
 	for i := range priorities {
 		priorities[i] = ClassPriority{
 			LatencyObjective: s.duration(classKey(i, classKeyLatencyObjective)),
-			PriorityWeight:   s.float(classKey(i, classKeyPriorityWeight)),
+			PriorityWeight:   s.figure(classKey(i, classKeyPriorityWeight)),
 		}
 	}
 	return priorities
@@ -91,7 +91,7 @@
 	if class.LatencyObjective <= 0 {
 		s.recordError(classKey(index, classKeyLatencyObjective), "is 0; no answer could be in time")
 	}
-	class.PriorityWeight = s.float(classKey(index, classKeyPriorityWeight))
-	class.LateWeightShare = s.floatOrDefault(classKey(index, classKeyLateWeightShare), 0)
+	class.PriorityWeight = s.figure(classKey(index, classKeyPriorityWeight))
+	class.LateWeightShare = s.figureOrDefault(classKey(index, classKeyLateWeightShare), 0)
 	return class
 }
--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -21,7 +21,6 @@
 	if voting.CallsPerSecond <= 0 {
 		s.recordError(keyCallsPerSecond, "is %v, no rate of calls a second", voting.CallsPerSecond)
 	}
-	s.checkCosts()
 	if s.err != nil {
 		return nil, s.err
 	}
@@ -64,7 +63,7 @@
 	if attempts := s.integer(keyMaxAttempts); s.boolean(keyHedging) && attempts < 2 {
 		s.recordError(keyHedging, "is true, but %s%s is %d: there is no hedged request", s.prefix, keyMaxAttempts, attempts)
 	}
-	if s.values[keyVotingRule] == votingTimer && s.floatOrDefault(keyVotesToAdvance, 0) > 0 {
+	if s.values[keyVotingRule] == votingTimer && s.figureOrDefault(keyVotesToAdvance, 0) > 0 {
 		s.recordError(keyVotesToAdvance, "is %v, but %s%s is timer: no vote moves a stage on",
 			s.values[keyVotesToAdvance], s.prefix, keyVotingRule)
 	}
@@ -72,8 +71,8 @@
 
 func (s *Settings) rolloutPlan() policy.RolloutPlan {
 	return policy.RolloutPlan{
-		Caps:            s.floatList(keyStageCaps),
-		Shares:          s.floatList(keyStageShares),
+		Caps:            s.figureList(keyStageCaps),
+		Shares:          s.figureList(keyStageShares),
 		GuardedStages:   s.integer(keyGuardedStages),
 		KeysNeverGoBack: s.boolean(keyKeysNeverGoBack),
 		ReplacesInPlace: enum(s, keyReplacement, map[string]bool{"in_place": true, "beside": false}),
@@ -83,16 +82,16 @@
 func (s *Settings) exposureLimit() policy.ExposureLimit {
 	return policy.ExposureLimit{
 		Window:    s.micros(keyExposureWindow),
-		Allowance: s.float(keyExposureAllowance),
+		Allowance: s.figure(keyExposureAllowance),
 		PerClass:  enum(s, keyExposureScope, map[string]bool{"class": true, "all": false}),
 	}
 }
 
 func (s *Settings) slowStart() policy.SlowStart {
 	return policy.SlowStart{
-		InitialCapacity:  s.float(keyInitialCapacity),
+		InitialCapacity:  s.figure(keyInitialCapacity),
 		Duration:         s.micros(keySlowStartDuration),
-		OverloadMultiple: s.float(keyOverloadMultiple),
+		OverloadMultiple: s.figure(keyOverloadMultiple),
 		OverloadAfter:    s.micros(keyOverloadAfter),
 	}
 }
@@ -123,17 +122,9 @@
 
 func (s *Settings) costWeights() policy.CostWeights {
 	return policy.CostWeights{
-		CrossZone:   s.floatOrDefault(keyCrossZoneCost, 0),
-		Waste:       s.floatOrDefault(keyWasteCost, 0),
-		HealthCheck: s.floatOrDefault(keyHealthCheckCost, 0),
-		Gossip:      s.floatOrDefault(keyGossipCost, 0),
-	}
-}
-
-func (s *Settings) checkCosts() {
-	for _, key := range []string{keyCrossZoneCost, keyWasteCost, keyHealthCheckCost, keyGossipCost} {
-		if cost := s.floatOrDefault(key, 0); cost < 0 {
-			s.recordError(key, "is %v, a price under 0", cost)
-		}
+		CrossZone:   s.figureOrDefault(keyCrossZoneCost, 0),
+		Waste:       s.figureOrDefault(keyWasteCost, 0),
+		HealthCheck: s.figureOrDefault(keyHealthCheckCost, 0),
+		Gossip:      s.figureOrDefault(keyGossipCost, 0),
 	}
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -14,6 +14,7 @@
 const (
 	maxInteger       = 1e6  // an upper bound for every count, well above any real one
 	maxMilliseconds  = 1e12 // about 31 years
+	maxFigure        = 1e9  // an upper bound for every other number, such as a weight, a share or a rate
 	microsPerMillis  = 1000
 	listSeparator    = ","
 	listCountKey     = "count"
@@ -140,19 +141,37 @@
 	return number
 }
 
-func (s *Settings) floatOrDefault(key string, fallback float64) float64 {
+// figure reads a number without a unit, from 0 on.
+func (s *Settings) figure(key string) float64 {
+	number := s.float(key)
+	if number < 0 || number > maxFigure {
+		s.recordError(key, "is %v, expected a number from 0 to %v", number, maxFigure)
+		return 0
+	}
+	return number
+}
+
+func (s *Settings) figureOrDefault(key string, fallback float64) float64 {
+	if !s.isSet(key) {
+		return fallback
+	}
+	return s.figure(key)
+}
+
+func (s *Settings) integerOrDefault(key string, fallback int) int {
 	if !s.isSet(key) {
 		return fallback
 	}
-	return s.float(key)
+	return s.integer(key)
 }
 
-func (s *Settings) floatList(key string) []float64 {
+// figureList reads the numbers of a list as figure does.
+func (s *Settings) figureList(key string) []float64 {
 	var numbers []float64
 	for _, field := range strings.Split(s.text(key), listSeparator) {
 		number, err := strconv.ParseFloat(field, 64)
-		if err != nil {
-			s.recordError(key, "holds %q, not a number", field)
+		if err != nil || math.IsNaN(number) || number < 0 || number > maxFigure {
+			s.recordError(key, "holds %q, expected numbers from 0 to %v", field, maxFigure)
 		}
 		numbers = append(numbers, number)
 	}
--- a/internal/config/tenants.go
+++ b/internal/config/tenants.go
@@ -3,7 +3,7 @@
 // Tenants returns the tenants' names in the order of their numbers; none for a deployment without tenants.
 func (s *Settings) Tenants() []string {
 	var names []string
-	for i := 0; i < int(s.floatOrDefault(keyTenantCount, 0)); i++ {
+	for i := range s.integerOrDefault(keyTenantCount, 0) {
 		names = append(names, s.text(tenantKey(i, tenantKeyName)))
 	}
 	return names
@@ -11,10 +11,10 @@
 
 // TenantShares returns the tenants' shares of the whole in the order of Tenants, equal ones where none is configured.
 func (s *Settings) TenantShares() []float64 {
-	shares := make([]float64, int(s.floatOrDefault(keyTenantCount, 0)))
+	shares := make([]float64, s.integerOrDefault(keyTenantCount, 0))
 	for i := range shares {
 		key := tenantKey(i, tenantKeyShare)
-		shares[i] = s.floatOrDefault(key, 1/float64(len(shares)))
+		shares[i] = s.figureOrDefault(key, 1/float64(len(shares)))
 		if shares[i] <= 0 {
 			s.recordError(key, "is %v, no share", shares[i])
 		}
--- a/internal/config/voting.go
+++ b/internal/config/voting.go
@@ -39,7 +39,7 @@
 	return policy.VotingRules{
 		VoteLifetime:    s.micros(keyVoteLifetime),
 		CallTimeout:     s.micros(keyCallTimeout),
-		CallsPerSecond:  s.float(keyCallsPerSecond),
+		CallsPerSecond:  s.figure(keyCallsPerSecond),
 		VotesToAdvance:  s.integer(keyVotesToAdvance),
 		VotesToRollback: s.integer(keyVotesToRollback),
 		Rule:            s.votingRule(),
@@ -53,7 +53,7 @@
 	if s.isSet(keyMetricsInterval) {
 		interval = s.micros(keyMetricsInterval)
 	}
-	sample := s.floatOrDefault(keyMetricsSample, 0)
+	sample := s.figureOrDefault(keyMetricsSample, 0)
 	if sample < 0 || sample > 1 {
 		s.recordError(keyMetricsSample, "is %v, not a share from 0 to 1", sample)
 	}
