A vote whose connection did not come up does not count as written

Callers saw: operators read casts_total, which counted votes that the rollout controller never got. Cause: a timed vote was resolved as written unless its write deadline had passed; a refused or timed-out connection counted as written. Change: these two results are not written either; casts_refused_total counts them, and the log line says "vote not written". Why it holds: both results mean that no byte could be sent, as each timed vote has a connection of its own.

--- a/internal/cluster/coordinator/commands.go
+++ b/internal/cluster/coordinator/commands.go
@@ -81,7 +81,7 @@
 			c.metrics.votesCast.Inc()
 		} else {
 			c.metrics.votesRefused.Inc()
-			slog.Warn("vote expired before it was written", "term", record.Term, "index", record.Index)
+			slog.Warn("vote not written", "term", record.Term, "index", record.Index)
 		}
 		c.mailbox.Put(voteResolved{record})
 	})
--- a/internal/cluster/coordinator/metrics.go
+++ b/internal/cluster/coordinator/metrics.go
@@ -20,7 +20,7 @@
 	electionsWon     *metrics.Counter // terms in which this agent has led
 	handOvers        *metrics.Counter // leases handed over at the agent's end
 	votesCast        *metrics.Counter
-	votesRefused     *metrics.Counter // not written, because it was too late
+	votesRefused     *metrics.Counter // not written, because it was too late or the controller could not be reached
 	messagesReceived *metrics.Counter
 	messagesSent     *metrics.Counter
 	messagesDropped  *metrics.Counter // received, and not used
--- a/internal/rollout/votes.go
+++ b/internal/rollout/votes.go
@@ -19,8 +19,8 @@
 type TimedVote struct {
 	policy.Vote
 	WriteBefore time.Time
-	// Resolved is called once it is known that the vote has been carried out or never will be; wrote is false only where it was not written
-	// because its time had passed. It is not called for a vote of which nothing is known.
+	// Resolved is called once it is known that the vote has been carried out or never will be; wrote is false where nothing of it was written,
+	// because its time had passed or no connection came up. It is not called for a vote of which nothing is known.
 	Resolved func(wrote bool)
 }
 
@@ -50,10 +50,20 @@
 		c.publisher.notifyObserver(update)
 	}
 	if isResolved(result) {
-		vote.Resolved(result != protocol.NotSent)
+		vote.Resolved(wasWritten(result))
 	}
 }
 
+// wasWritten tells whether a resolved vote can have reached the controller: without a connection nobody has it, and counted as cast it
+// would hide from operators that the controller is out of reach.
+func wasWritten(result protocol.Result) bool {
+	switch result {
+	case protocol.NotSent, protocol.ConnectionRefused, protocol.ConnectTimeout:
+		return false
+	}
+	return true
+}
+
 // isResolved tells whether a vote with this result has been carried out or never will be. After any other result it may yet be.
 func isResolved(result protocol.Result) bool {
 	switch result {
