--- a/cmd/switchfork-lab/main.go
+++ b/cmd/switchfork-lab/main.go
@@ -33,7 +33,7 @@
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(admissionCommand(), electionCommand(), demoCommand(), logsCommand(), faultTestCommand())
+	root.AddCommand(admissionCommand(), electionCommand(), demoCommand(), logsCommand(), faultTestCommand(), soakCommand())
 	err := root.Execute()
 	if err == nil {
 		return
--- /dev/null
+++ b/cmd/switchfork-lab/soak.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"switchfork/internal/faulttest"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/spf13/cobra"
+	"golang.org/x/term"
+)
+
+const (
+	defaultSoakSeeds    = 50
+	defaultSoakParallel = 4
+	maxSoakParallel     = 64
+	// maxSoakSeeds bounds a run that is limited by its time alone.
+	maxSoakSeeds = 1_000_000
+)
+
+// soakOptions are the flags of the soak command.
+type soakOptions struct {
+	seeds     int
+	from      int64
+	parallel  int
+	duration  time.Duration // no further seed is started after it; 0: no bound
+	keep      string
+	agentPath string
+	print     int64 // print this seed's scenario, and run nothing; negative: run
+}
+
+// soakSummary is the last line of a soak's output.
+type soakSummary struct {
+	Seeds      int            `json:"seeds"`
+	Requests   int            `json:"requests"`
+	Restarts   int            `json:"restarts"`
+	Failed     []int64        `json:"failed_seeds"`
+	Violations map[string]int `json:"violations"` // by rule; "other" for a scenario that could not be run to its end
+	TookMS     int64          `json:"took_ms"`
+}
+
+// soakCommand runs scenarios that are drawn from seeds.
+func soakCommand() *cobra.Command {
+	var o soakOptions
+	c := &cobra.Command{
+		Use: "soak [flags]", Short: "run drawn fault scenarios with planned restarts, held against the rules alone",
+		Args: noArguments,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := o.check(); err != nil {
+				return err
+			}
+			if o.print >= 0 {
+				_, err := io.WriteString(c.OutOrStdout(), faulttest.DrawScenario(o.print))
+				return err
+			}
+			return runSoak(c.OutOrStdout(), o)
+		},
+	}
+	c.Flags().IntVar(&o.seeds, "seeds", defaultSoakSeeds, "how many seeds; 0 with --for: as many as there is time for")
+	c.Flags().Int64Var(&o.from, "from", 1, "the first seed")
+	c.Flags().IntVar(&o.parallel, "parallel", defaultSoakParallel, "how many scenarios run at a time")
+	c.Flags().DurationVar(&o.duration, "for", 0, "start no further seed after this time; 0: no bound")
+	c.Flags().StringVar(&o.keep, "keep", "", "a folder for every scenario's logs, time line and records; without it they are kept where a rule is broken")
+	c.Flags().StringVar(&o.agentPath, "agent", "", "the agent's program; built anew where none is named")
+	c.Flags().Int64Var(&o.print, "print", -1, "print the scenario of this seed, for switchfork-lab trial, and run nothing")
+	return c
+}
+
+// check reports flags that can't be used.
+func (o *soakOptions) check() error {
+	switch {
+	case o.seeds < 0 || o.seeds > maxSoakSeeds:
+		return usageError{fmt.Errorf("--seeds is %d, expected 1 to %d, or 0 with --for", o.seeds, maxSoakSeeds)}
+	case o.seeds == 0 && o.duration <= 0:
+		return usageError{fmt.Errorf("--seeds is 0 and --for is %v, expected a number of seeds or a time", o.duration)}
+	case o.duration < 0:
+		return usageError{fmt.Errorf("--for is %v, expected a time from 0 on", o.duration)}
+	case o.from < 0:
+		return usageError{fmt.Errorf("--from is %d, expected a seed from 0 on", o.from)}
+	case o.parallel < 1 || o.parallel > maxSoakParallel:
+		return usageError{fmt.Errorf("--parallel is %d, expected 1 to %d", o.parallel, maxSoakParallel)}
+	}
+	if o.seeds == 0 {
+		o.seeds = maxSoakSeeds
+	}
+	return nil
+}
+
+// soak is a run of the soak command.
+type soak struct {
+	soakOptions
+	programs map[string]string
+	encoder  *json.Encoder
+	bar      *progressbar.ProgressBar // nil: no terminal
+
+	mu      sync.Mutex
+	next    int64 // the next seed
+	summary soakSummary
+}
+
+// runSoak runs the seeds, and prints a line of JSON for each and the summary.
+func runSoak(out io.Writer, o soakOptions) error {
+	dir, err := os.MkdirTemp("", "switchfork-soak")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // a temporary folder that stays does no harm
+	program, err := agentProgram(dir, o.agentPath)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	s := &soak{soakOptions: o, programs: map[string]string{"": program}, encoder: json.NewEncoder(out), next: o.from}
+	s.summary.Failed, s.summary.Violations = []int64{}, map[string]int{}
+	if term.IsTerminal(int(os.Stderr.Fd())) {
+		s.bar = progressbar.NewOptions(o.seeds, progressbar.OptionSetWriter(os.Stderr), progressbar.OptionClearOnFinish(),
+			progressbar.OptionSetWidth(progressBarWidth))
+	}
+	start := time.Now()
+	var workers sync.WaitGroup
+	for range o.parallel {
+		workers.Go(func() { s.work(ctx, start) })
+	}
+	workers.Wait()
+	s.summary.TookMS = time.Since(start).Milliseconds()
+	if err := s.encoder.Encode(s.summary); err != nil {
+		return err
+	}
+	if n := len(s.summary.Failed); n > 0 {
+		return fmt.Errorf("%d of %d seeds broke a rule", n, s.summary.Seeds)
+	}
+	return nil
+}
+
+// work runs one seed after the other until there is none left, or no time.
+func (s *soak) work(ctx context.Context, start time.Time) {
+	for ctx.Err() == nil && (s.duration == 0 || time.Since(start) < s.duration) {
+		seed, isLeft := s.nextSeed()
+		if !isLeft {
+			return
+		}
+		scenario, err := faulttest.ParseScenario(fmt.Sprintf("soak-%d.txt", seed), faulttest.DrawScenario(seed))
+		if err != nil {
+			panic(err) // every seed's text is in the notation: a fault of the lab
+		}
+		verdict := faulttest.Run(ctx, scenario, faulttest.RunOptions{Programs: s.programs, Keep: s.keep})
+		if ctx.Err() == nil { // an interrupted run says nothing
+			s.record(seed, scenario, verdict)
+		}
+	}
+}
+
+func (s *soak) nextSeed() (seed int64, isLeft bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next >= s.from+int64(s.seeds) {
+		return 0, false
+	}
+	s.next++
+	return s.next - 1, true
+}
+
+func (s *soak) record(seed int64, scenario *faulttest.Scenario, verdict *faulttest.Verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.summary.Seeds++
+	s.summary.Requests += verdict.Requests
+	s.summary.Restarts += scenario.Restarts()
+	_ = s.encoder.Encode(verdict) // an output that can't be written fails with the summary
+	if s.bar != nil {
+		_ = s.bar.Add(1) // a bar that isn't drawn does no harm
+	}
+	if verdict.Passed {
+		return
+	}
+	s.summary.Failed = append(s.summary.Failed, seed)
+	for _, violation := range verdict.Violations {
+		s.summary.Violations[faulttest.RuleOf(violation)]++
+	}
+	if len(verdict.Violations) == 0 {
+		s.summary.Violations["other"]++
+	}
+	reportFailures(verdict)
+	printf(os.Stderr, "to run it again: switchfork-lab soak --print %d > soak-%d.txt && switchfork-lab trial soak-%d.txt\n", seed, seed, seed)
+}
--- a/internal/fakes/agent_process.go
+++ b/internal/fakes/agent_process.go
@@ -37,6 +37,7 @@
 	command *exec.Cmd
 	exit    chan error // how the process ended; closed after that
 	done    chan struct{}
+	exitErr error // set before done is closed
 }
 
 // Start writes the agent's files into a folder, starts the program and waits until it serves.
@@ -99,7 +100,8 @@
 	if err != nil {
 		return
 	}
-	a.exit <- a.command.Wait()
+	a.exitErr = a.command.Wait()
+	a.exit <- a.exitErr
 	close(a.exit)
 	close(a.done)
 }
@@ -132,6 +134,9 @@
 // Done is closed when the process has ended.
 func (a *Agent) Done() <-chan struct{} { return a.done }
 
+// ExitError returns how the process ended, nil for the exit status 0. It may be called once Done is closed.
+func (a *Agent) ExitError() error { return a.exitErr }
+
 // Terminate asks the agent to drain and end.
 func (a *Agent) Terminate() error { return a.command.Process.Signal(syscall.SIGTERM) }
 
--- a/internal/faulttest/actions.go
+++ b/internal/faulttest/actions.go
@@ -21,6 +21,16 @@
 	return nil
 }
 
+func (a crowdStep) run(r *runner, s Step) error {
+	r.stopCrowd()
+	ctx, stop := context.WithCancel(r.ctx)
+	r.mu.Lock()
+	r.stopCrowdClients = stop
+	r.mu.Unlock()
+	r.clients.startCrowd(ctx, r.agentNumbers(a.agents), a, r.scenario.Seed*crowdSeedFactor)
+	return nil
+}
+
 func (a faultStep) run(r *runner, s Step) error {
 	r.injectFault(s, a)
 	return nil
--- a/internal/faulttest/agent.go
+++ b/internal/faulttest/agent.go
@@ -188,6 +188,9 @@
 	d.mu.Lock()
 	if l := &a.lifetimes[lifetime]; l.End < 0 { // not the last lifetime: another process may have started by now
 		l.End = d.now()
+		if err := process.ExitError(); err != nil {
+			l.ExitError = err.Error()
+		}
 	}
 	d.mu.Unlock()
 	d.recordEvent("rig", "agent %d's process is over", a.number)
--- a/internal/faulttest/client_conn.go
+++ b/internal/faulttest/client_conn.go
@@ -22,8 +22,23 @@
 	lateAnswerWait    = time.Second
 	clientDialTimeout = time.Second
 	requestBody       = "beam=1"
+	// pieceInterval lies between the two pieces of a request that is sent in pieces.
+	pieceInterval = 20 * time.Millisecond
 )
 
+// connSource is where an attempt takes its connection from, and keeps it for the next one.
+type connSource interface {
+	takeConn(agent int) (*clientConn, error)
+	putConn(agent int, conn *clientConn)
+}
+
+// requestStyle is how a client sends a request; the zero value is a plain one.
+type requestStyle struct {
+	inPieces   bool
+	timeout    time.Duration // that the client gives the agent; 0: requestTimeout
+	leaveAfter time.Duration // the client closes its connection so long after it has sent the request; 0: it waits
+}
+
 // clientConn is a client's connection to an agent. One that is idle belongs to its load, one that is in use to its attempt.
 type clientConn struct {
 	net.Conn
@@ -36,33 +51,49 @@
 func (c *clientConn) discard() { _ = c.Close() }
 
 // runAttempt sends a request to an agent once. Where the connection's end crossed the request, it is sent on another connection.
-func (c *clientLoad) runAttempt(agent int, class string, serial int64, n int) Attempt {
-	a := Attempt{Agent: agent, ID: fmt.Sprintf("%x-%d", serial, n), Class: class, SentAt: -1}
-	if class == classKeyed {
-		a.Key = fmt.Sprintf("%032x", serial)
-	}
-	began := time.Now()
+func (c *clientLoad) runAttempt(agent int, class string, serial int64, n int, style requestStyle) Attempt {
 	select {
 	case c.connSlots[agent] <- struct{}{}:
 		defer func() { <-c.connSlots[agent] }()
 	default:
 		c.droppedRequests.Add(1)
+		a := newAttempt(agent, class, serial, n, style)
 		a.EndedAt, a.Err, a.WasUnreachable = c.now(), "no place", true
 		return a
 	}
+	return c.runAttemptOn(c, agent, class, serial, n, style)
+}
+
+func newAttempt(agent int, class string, serial int64, n int, style requestStyle) Attempt {
+	a := Attempt{Agent: agent, ID: fmt.Sprintf("%x-%d", serial, n), Class: class, SentAt: -1, Timeout: style.timeout.Microseconds()}
+	if class == classKeyed {
+		a.Key = fmt.Sprintf("%032x", serial)
+	}
+	return a
+}
+
+// runAttemptOn is runAttempt with connections of a source.
+func (c *clientLoad) runAttemptOn(source connSource, agent int, class string, serial int64, n int, style requestStyle) Attempt {
+	a := newAttempt(agent, class, serial, n, style)
+	began := time.Now()
 	for {
-		conn, err := c.takeConn(agent)
+		conn, err := source.takeConn(agent)
 		if err != nil {
 			a.EndedAt, a.Err, a.WasUnreachable = c.now(), err.Error(), true
 			return a
 		}
-		err = c.exchange(conn, &a, serial, n, began)
+		isKept, err := c.exchange(conn, &a, serial, n, began, style)
+		if isKept {
+			source.putConn(agent, conn)
+			return a
+		}
+		conn.discard()
 		if err == nil {
 			return a
 		}
 		crossed := conn.closedWhileIdle(err)
-		conn.discard()
 		if crossed && time.Since(began) < requestTimeout && !c.wasKilled(agent, conn.dialedAt) {
+			c.recordCrossing(Crossing{Agent: agent, At: c.now(), ID: a.ID, Err: err.Error(), IsReset: !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)})
 			a.SentAt = -1
 			continue
 		}
@@ -71,37 +102,51 @@
 	}
 }
 
-// exchange writes the request and reads the answer into the attempt.
-func (c *clientLoad) exchange(conn *clientConn, a *Attempt, serial int64, n int, began time.Time) error {
+// write sends a request, in two pieces where its style says so.
+func (c *clientConn) write(request []byte, style requestStyle) error {
+	if style.inPieces {
+		half := len(request) / 2
+		if _, err := c.Write(request[:half]); err != nil {
+			return err
+		}
+		time.Sleep(pieceInterval)
+		request = request[half:]
+	}
+	_, err := c.Write(request)
+	return err
+}
+
+// exchange writes the request and reads the answer into the attempt. It tells whether the connection may be used again.
+func (c *clientLoad) exchange(conn *clientConn, a *Attempt, serial int64, n int, began time.Time, style requestStyle) (isKept bool, err error) {
 	if err := conn.SetDeadline(began.Add(requestTimeout + lateAnswerWait)); err != nil {
-		return err
+		return false, err
 	}
-	if _, err := conn.Write(encodeRequest(a, serial, n, requestTimeout-time.Since(began))); err != nil {
-		return err
+	if err := conn.write(encodeRequest(a, serial, n, a.timeout()-time.Since(began)), style); err != nil {
+		return false, err
 	}
 	a.SentAt = c.now()
+	if style.leaveAfter > 0 {
+		time.Sleep(style.leaveAfter)
+		a.HasLeft, a.EndedAt = true, c.now()
+		return false, nil
+	}
 	response, err := http.ReadResponse(conn.reader, nil)
 	if err != nil {
-		return err
+		return false, err
 	}
 	body, err := io.ReadAll(response.Body)
 	_ = response.Body.Close() // all of it was read, or err says why not
 	a.EndedAt = c.now()
 	if err != nil {
-		return err
+		return false, err
 	}
 	a.Status, a.Body = response.StatusCode, string(body)
 	if isRejection(a.Status) {
 		a.Body = response.Header.Get("Retry-After")
 	}
 	a.HasExtraBytes = conn.reader.Buffered() > 0
-	if response.Close || a.HasExtraBytes {
-		conn.discard()
-		return nil
-	}
 	conn.wasUsed = true
-	c.putConn(a.Agent, conn)
-	return nil
+	return !response.Close && !a.HasExtraBytes, nil
 }
 
 // closedWhileIdle tells whether an error means that the agent closed a connection that it had served before, with nothing of an answer.
@@ -124,17 +169,25 @@
 		if conn == nil {
 			return c.dial(agent)
 		}
-		n, err := conn.peek()
-		if errors.Is(err, unix.EAGAIN) {
+		if c.isStillOpen(conn) {
 			return conn, nil
 		}
-		if n > 0 {
-			c.extraBytes.Add(1)
-		}
-		conn.discard()
 	}
 }
 
+// isStillOpen looks whether an idle connection can be used, and discards it where it can't.
+func (c *clientLoad) isStillOpen(conn *clientConn) bool {
+	n, err := conn.peek()
+	if errors.Is(err, unix.EAGAIN) {
+		return true
+	}
+	if n > 0 {
+		c.extraBytes.Add(1)
+	}
+	conn.discard()
+	return false
+}
+
 func (c *clientLoad) dial(agent int) (*clientConn, error) {
 	at := c.now()
 	dialer := net.Dialer{Timeout: clientDialTimeout}
--- a/internal/faulttest/client_load.go
+++ b/internal/faulttest/client_load.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,7 @@
 
 	mu        sync.Mutex
 	requests  []*Request
+	crossings []Crossing
 	idleConns [][]*clientConn // by agent
 }
 
@@ -82,15 +84,53 @@
 			return
 		case <-timer.C:
 		}
-		class := load.drawClass(random.Float64())
-		request := &Request{ArrivedAt: c.now(), Agent: agent}
-		c.mu.Lock()
-		c.requests = append(c.requests, request)
-		c.mu.Unlock()
-		c.running.Go(func() { c.runRequest(request, class) })
+		class, style := load.drawClass(random.Float64()), load.drawStyle(random)
+		request := c.newRequest(agent)
+		c.running.Go(func() { c.runRequest(request, class, style) })
 	}
 }
 
+func (c *clientLoad) newRequest(agent int) *Request {
+	request := &Request{ArrivedAt: c.now(), Agent: agent}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests = append(c.requests, request)
+	return request
+}
+
+func (c *clientLoad) recordCrossing(crossing Crossing) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crossings = append(c.crossings, crossing)
+}
+
+func (c *clientLoad) snapshotCrossings() []Crossing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.crossings)
+}
+
+// Times of the clients that leave, or that leave the agent little time.
+const (
+	maxLeaveAfter   = 100 * time.Millisecond
+	minShortTimeout = 20 * time.Millisecond
+	maxShortTimeout = 300 * time.Millisecond
+)
+
+// drawStyle is how a request is sent. A load without special requests draws nothing, so that its arrivals do not depend on them.
+func (a loadStep) drawStyle(random *rand.Rand) (style requestStyle) {
+	if a.piecesShare > 0 {
+		style.inPieces = random.Float64() < a.piecesShare
+	}
+	if a.leaveShare > 0 && random.Float64() < a.leaveShare {
+		style.leaveAfter = 1 + time.Duration(random.Int63n(int64(maxLeaveAfter)))
+	}
+	if a.shortShare > 0 && random.Float64() < a.shortShare {
+		style.timeout = minShortTimeout + time.Duration(random.Int63n(int64(maxShortTimeout-minShortTimeout)))
+	}
+	return style
+}
+
 // drawClass is the class of a request by a number from 0 to 1.
 func (a loadStep) drawClass(draw float64) string {
 	switch {
@@ -128,16 +168,19 @@
 
 // runRequest tries a request until it is final: a rejected attempt is retried after the time that the agent names, one that didn't
 // reach an agent is retried at another, as a plain front would do.
-func (c *clientLoad) runRequest(request *Request, class string) {
+func (c *clientLoad) runRequest(request *Request, class string, style requestStyle) {
 	serial := c.lastSerial.Add(1)
 	agent, began := request.Agent, c.now()
 	outcome := outcomeFailed
 	for n := range maxAttempts {
-		attempt := c.runAttempt(agent, class, serial, n)
+		attempt := c.runAttempt(agent, class, serial, n, style)
 		c.mu.Lock()
 		request.Attempts = append(request.Attempts, attempt)
 		c.mu.Unlock()
 		outcome = attempt.outcome()
+		if attempt.HasLeft || attempt.Timeout > 0 {
+			break // it does not come again
+		}
 		if outcome == outcomeRejected {
 			time.Sleep(attempt.retryAfter())
 			continue
--- a/internal/faulttest/deployment.go
+++ b/internal/faulttest/deployment.go
@@ -19,6 +19,7 @@
 	endpointSeedFactor = 15_485_863
 	discoverySeedSalt  = 1
 	rolloutSeedSalt    = 2
+	crowdSeedFactor    = 389
 	movedSeedSalt      = 3
 )
 
@@ -47,6 +48,8 @@
 	toRollout      [][]*netfault.Stream
 	events         []event
 	stopClients    context.CancelFunc
+
+	stopCrowdClients context.CancelFunc
 }
 
 // event is something that the deployment did or saw, for the time line.
@@ -285,9 +288,20 @@
 	d.stopClients = nil
 }
 
+// stopCrowd ends the crowd.
+func (d *deployment) stopCrowd() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopCrowdClients != nil {
+		d.stopCrowdClients()
+	}
+	d.stopCrowdClients = nil
+}
+
 // close ends all that was started, in whatever state it is.
 func (d *deployment) close() {
 	d.stopLoad()
+	d.stopCrowd()
 	for _, a := range d.agents {
 		d.killAgent(a)
 	}
--- /dev/null
+++ b/internal/faulttest/draw.go
@@ -0,0 +1,123 @@
+package faulttest
+
+import (
+	"fmt"
+	"math/rand"
+	"strings"
+)
+
+// Bounds of what DrawScenario draws.
+const (
+	maxDrawnAgents     = 8
+	minDrawnEndpoints  = 3
+	maxDrawnEndpoints  = 24
+	drawnRequestRate   = 160 // requests a second at all agents together
+	minCrowd, maxCrowd = 120, 300
+	crowdOneIn         = 4 // runs
+	drawnEvents        = 4
+	drawnBuild         = 7
+	canaryBuild        = 8
+	maxResetBytes      = 150 // less than a request, so that the next one on each connection is hit
+)
+
+// drawer writes the lines of a drawn scenario.
+type drawer struct {
+	random            *rand.Rand
+	lines             []string
+	agents, endpoints int
+}
+
+// DrawScenario returns the text of a scenario that is drawn from a seed: a deployment, a load with clients of all kinds, faults, changes of
+// the endpoint list and planned restarts. It expects nothing but the rules, so that any violation is a fault of the agent.
+func DrawScenario(seed int64) string {
+	d := &drawer{random: rand.New(rand.NewSource(seed))}
+	d.agents = 1 + d.random.Intn(maxDrawnAgents)
+	d.endpoints = minDrawnEndpoints + d.random.Intn(maxDrawnEndpoints-minDrawnEndpoints+1)
+	d.add("# drawn from seed %d", seed)
+	d.add("agents %d", d.agents)
+	d.add("appliances %d slots=%d work=%dms", d.endpoints, 2+d.random.Intn(8), 2+d.random.Intn(10))
+	d.add("seed %d", seed%(1<<31))
+	d.drawLoad()
+	at := 0.5
+	for range drawnEvents {
+		at += 0.3 + d.random.Float64()
+		d.drawEvent(at)
+	}
+	at += 0.5
+	d.drawRestart(at)
+	d.add("+1s load 0")
+	d.add("+0s crowd 0")
+	d.add("expect offered >= 1")
+	return strings.Join(d.lines, "\n") + "\n"
+}
+
+func (d *drawer) add(format string, args ...any) {
+	d.lines = append(d.lines, fmt.Sprintf(format, args...))
+}
+
+func (d *drawer) share(most float64) float64 { return float64(int(d.random.Float64()*most*100)) / 100 }
+
+func (d *drawer) drawLoad() {
+	rate := max(5, drawnRequestRate/d.agents)
+	d.add("0s load %d posting=%.2f once=%.2f pieces=%.2f leave=%.2f short=%.2f", rate, d.share(0.4), d.share(0.3), d.share(0.2), d.share(0.1), d.share(0.1))
+	if d.random.Intn(crowdOneIn) == 0 {
+		crowd := (minCrowd + d.random.Intn(maxCrowd-minCrowd+1)) / d.agents
+		d.add("0s crowd %d pause=%dms", crowd, 100+d.random.Intn(400))
+	}
+}
+
+// drawEvent draws one fault or change. Faults on links are on all of them, so that each touches something, and are healed.
+func (d *drawer) drawEvent(at float64) {
+	endpoint, agent := d.random.Intn(d.endpoints), d.random.Intn(d.agents)
+	step := func(format string, args ...any) { d.add("%.2fs "+format, append([]any{at}, args...)...) }
+	switch d.random.Intn(11) {
+	case 0:
+		step("work %d appliance:%d", 3+d.random.Intn(20), endpoint)
+	case 1:
+		step("fail %.2f appliance:%d", 0.2+d.share(0.8), endpoint)
+	case 2:
+		step("slow %dms~%dms agents <-> appliances", 20+d.random.Intn(100), d.random.Intn(20))
+		d.add("+1s heal agents <-> appliances")
+	case 3:
+		step("reset %d agents -> appliances", 1+d.random.Intn(maxResetBytes))
+		d.add("+1s heal agents -> appliances")
+	case 4:
+		step("drop agents -> appliance:%d", endpoint)
+		d.add("+2s heal agents -> appliance:%d", endpoint)
+	case 5:
+		step("drain appliance:%d", endpoint)
+	case 6:
+		step("gone appliance:%d", endpoint)
+	case 7:
+		step("add %d build=%d", 1+d.random.Intn(3), drawnBuild)
+	case 8:
+		step("stop agent:%d", agent)
+		d.add("+%dms go agent:%d", 10+d.random.Intn(140), agent)
+	case 9:
+		step("add %d build=%d", 1+d.random.Intn(3), canaryBuild)
+		d.add("+0s news %d 0 testing 0.2", canaryBuild)
+	case 10:
+		step("slow %dms discovery -> agents", 100+d.random.Intn(2000))
+	}
+}
+
+// drawRestart restarts some agents as an operator does, with signals in series before and after SIGTERM. Those of a deployment with several
+// agents are restarted one after the other or at the same time.
+func (d *drawer) drawRestart(at float64) {
+	who := "agents"
+	if d.agents > 1 && d.random.Intn(3) > 0 {
+		who = fmt.Sprintf("agent:%d", d.random.Intn(d.agents))
+	}
+	d.add("%.2fs mark restart", at)
+	for range d.random.Intn(3) {
+		d.add("+%dms reload %s %s", d.random.Intn(30), who, []string{serverDiscovery, serverRollout, "operator log-level info"}[d.random.Intn(3)])
+	}
+	d.add("+%dms term %s", d.random.Intn(30), who)
+	if d.random.Intn(2) == 0 {
+		d.add("+%dms term %s", d.random.Intn(30), who)
+	}
+	if d.random.Intn(2) == 0 {
+		d.add("+%dms reload %s operator log-level info", d.random.Intn(30), who)
+	}
+	d.add("+0s start %s", who)
+}
--- a/internal/faulttest/matching.go
+++ b/internal/faulttest/matching.go
@@ -58,7 +58,8 @@
 	out := &Records{
 		Agents: d.scenario.Agents, End: d.now(), HasElection: d.scenario.HasElection,
 		Requests: d.clients.snapshot(), ConnsWithExtraBytes: int(d.clients.extraBytes.Load()),
-		Arrivals: d.recorder.snapshot(), Votes: d.rollout.snapshotVotes(),
+		Crossings: d.clients.snapshotCrossings(),
+		Arrivals:  d.recorder.snapshot(), Votes: d.rollout.snapshotVotes(),
 		Slots: d.scenario.Slots, ServiceTime: toMicros(d.scenario.ServiceTime),
 	}
 	out.Calls = map[string][]Call{serverDiscovery: d.discovery.snapshotCalls(), serverRollout: d.rollout.snapshotCalls()}
--- a/internal/faulttest/parse_step.go
+++ b/internal/faulttest/parse_step.go
@@ -9,6 +9,7 @@
 // actionParsers read what stands behind the keyword of a step. Faults have a table of their own.
 var actionParsers = map[string]func(p *parser, token string) stepAction{
 	"load":     (*parser).loadAction,
+	"crowd":    (*parser).crowdAction,
 	"stop":     (*parser).processAction,
 	"go":       (*parser).processAction,
 	"kill":     (*parser).processAction,
@@ -62,7 +63,7 @@
 	if parse, isKnown := actionParsers[token]; isKnown {
 		return parse(p, token)
 	}
-	p.fail("%q is no step, expected one of load, drop, silent, refuse, lose, slow, trickle, reset, double, swap, heal, stop, go, kill, term, "+
+	p.fail("%q is no step, expected one of load, crowd, drop, silent, refuse, lose, slow, trickle, reset, double, swap, heal, stop, go, kill, term, "+
 		"start, restart, reload, drain, ready, gone, add, work, fail, news, launcher, name, members, wait, check, mark", token)
 	return nil
 }
@@ -185,12 +186,28 @@
 	if v, isSet := p.option("once"); isSet {
 		load.onceShare = p.number(v, "once", 0, 1-load.keyedShare)
 	}
+	for key, share := range map[string]*float64{"pieces": &load.piecesShare, "leave": &load.leaveShare, "short": &load.shortShare} {
+		if v, isSet := p.option(key); isSet {
+			*share = p.number(v, key, 0, 1)
+		}
+	}
 	if len(p.tokens) > 0 {
 		load.agents = p.agentSet(p.nextToken(agentSetForm))
 	}
 	return load
 }
 
+func (p *parser) crowdAction(string) stepAction {
+	crowd := crowdStep{clients: p.integer(p.nextToken("clients at each agent"), "the crowd", 0, maxConnsPerAgent), pause: defaultCrowdPause}
+	if v, isSet := p.option("pause"); isSet {
+		crowd.pause = p.duration(v, "the pause")
+	}
+	if len(p.tokens) > 0 {
+		crowd.agents = p.agentSet(p.nextToken(agentSetForm))
+	}
+	return crowd
+}
+
 func (p *parser) processAction(token string) stepAction {
 	step := processStep{action: token, agents: p.agentSet(p.nextToken(agentSetForm))}
 	step.clearsState = p.accept("fresh")
--- a/internal/faulttest/process.go
+++ b/internal/faulttest/process.go
@@ -108,7 +108,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if l.End < 0 {
-		l.End = r.now()
+		l.End, l.WasKilled = r.now(), true
 	}
 }
 
--- a/internal/faulttest/records.go
+++ b/internal/faulttest/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"switchfork/internal/faulttest/netfault"
 )
@@ -24,6 +25,7 @@
 	EndpointLists       [][]EndpointRow     `json:"Lists"` // by version
 	Lifetimes           [][]ProcessLifetime `json:"Lives"` // by agent
 	HasElection         bool                `json:"Decider"`
+	Crossings           []Crossing
 
 	// ReceivedLists and ReceivedStages tell when each agent had each version, in the order of time.
 	ReceivedLists  [][]Receipt `json:"HadList"`
@@ -38,6 +40,8 @@
 	End        netfault.Micros      `json:"To"`         // -1 while it lives
 	TermSentAt netfault.Micros      `json:"Left"`       // when SIGTERM was sent; -1: never
 	Pauses     [][2]netfault.Micros `json:"Standstill"` // begin and end of each SIGSTOP; end -1 while it lasts
+	WasKilled  bool                 `json:"Killed"`
+	ExitError  string               // how a process that was not killed ended; empty: with 0, or it lives
 }
 
 // Receipt is when an agent was handed a version of the endpoint list or of the rollout state.
@@ -104,6 +108,27 @@
 	HasExtraBytes  bool `json:"Surplus"` // bytes came behind the answer
 	Body           string
 	WasUnreachable bool `json:"Unreached"` // no connection came up: the agent has not received it
+
+	Timeout netfault.Micros `json:",omitempty"`     // that the client gave the agent; 0: requestTimeout
+	HasLeft bool            `json:"Gone,omitempty"` // the client closed its connection at EndedAt and wants no answer
+}
+
+// timeout is the time that the client gave the agent.
+func (a *Attempt) timeout() time.Duration {
+	if a.Timeout > 0 {
+		return time.Duration(a.Timeout) * time.Microsecond
+	}
+	return requestTimeout
+}
+
+// Crossing is a request that was sent on a kept connection and got nothing, as the connection ended: its end crossed the request, which the
+// client sent again. The client had looked for the connection's end right before.
+type Crossing struct {
+	Agent   int
+	At      netfault.Micros
+	ID      string
+	Err     string
+	IsReset bool // the connection ended by a reset, not by a clean end
 }
 
 // Outcomes of a request, over all its attempts.
--- a/internal/faulttest/records_test.go
+++ b/internal/faulttest/records_test.go
@@ -27,7 +27,7 @@
 		want  []string
 	}{
 		{"records", got, []string{
-			"Agents", "Arrivals", "Born", "Calls", "Datagrams", "Decider", "End", "HadList", "HadNews", "Lists", "Lives",
+			"Agents", "Arrivals", "Born", "Calls", "Crossings", "Datagrams", "Decider", "End", "HadList", "HadNews", "Lists", "Lives",
 			"SentAt", "Slots", "Stages", "Surplus", "Txns", "Votes", "Work",
 		}},
 		{"a request", request, []string{"Agent", "Came", "Fate", "InTime", "Tries"}},
@@ -38,7 +38,7 @@
 		{"a vote", firstOf("Votes"), []string{"Agent", "At", "Build", "Opinion", "Stage"}},
 		{"a stage", firstOf("Stages"), []string{"At", "Build", "Cap", "Phase", "Stage"}},
 		{"an endpoint", firstOf("Lists").([]any)[0], []string{"Born", "Box", "Build", "Health"}},
-		{"a process", firstOf("Lives").([]any)[0], []string{"From", "Left", "Standstill", "To"}},
+		{"a process", firstOf("Lives").([]any)[0], []string{"ExitError", "From", "Killed", "Left", "Standstill", "To"}},
 		{"a receipt", firstOf("HadList").([]any)[0], []string{"At", "Serial"}},
 		{"a call", got["Calls"].(map[string]any)[serverDiscovery].([]any)[0], []string{"Agent", "At", "What"}},
 	} {
--- a/internal/faulttest/rules.go
+++ b/internal/faulttest/rules.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"switchfork/internal/fakes"
@@ -18,6 +19,9 @@
 	ruleSlowStart         = "cold spared"
 	ruleExposureCap       = "exposure"
 	ruleNoContraryVotes   = "no contrary votes"
+	ruleKeptConnections   = "kept connections"
+	ruleShutdown          = "shutdown"
+	ruleNothingForGone    = "nothing for clients that left"
 )
 
 const (
@@ -28,6 +32,16 @@
 	drainSlack = 150 * time.Millisecond
 	// maxViolationsPerRule bounds how many violations of one rule are reported.
 	maxViolationsPerRule = 20
+	// killDelay is the protocol's: SIGKILL comes so long after SIGTERM, for deadlines of up to 3 s.
+	killDelay = 3700 * time.Millisecond
+	// acceptAfterTerm is the protocol's: new connections still come for so long after SIGTERM.
+	acceptAfterTerm = 200 * time.Millisecond
+	// exitSlack: what was sent so shortly before a process ended by itself may have met its closed listener.
+	exitSlack = 50 * time.Millisecond
+	// maxCleanCrossings: a request may cross the clean end of a connection in the microseconds in which it ends, one in a hundred restarts.
+	maxCleanCrossings = 1
+	// goneSlack is the protocol's 0.1 s for an attempt of a client that has left, and drainSlack.
+	goneSlack = 100*time.Millisecond + drainSlack
 )
 
 // Violation is a rule that was broken.
@@ -41,6 +55,12 @@
 	return fmt.Sprintf("rule %s at %.3f s: %s", v.Rule, seconds(v.At), v.What)
 }
 
+// RuleOf returns the name of the rule in the text of a violation.
+func RuleOf(violation string) string {
+	rule, _, _ := strings.Cut(strings.TrimPrefix(violation, "rule "), " at ")
+	return rule
+}
+
 // seconds are microseconds as reports print them.
 func seconds(at netfault.Micros) float64 { return float64(at) / 1e6 }
 
@@ -49,6 +69,7 @@
 func CheckRules(r *Records) (out []Violation) {
 	rules := []func(*Records) []Violation{
 		checkOneAnswer, checkNoDuplicateEffect, checkDrainsRespected, checkSlowStart, checkExposureCap, checkNoContraryVotes,
+		checkKeptConnections, checkShutdown, checkNothingForGone,
 	}
 	for _, rule := range rules {
 		found := rule(r)
@@ -79,10 +100,10 @@
 	if a.HasExtraBytes {
 		out = append(out, Violation{ruleOneAnswer, a.EndedAt, fmt.Sprintf("bytes behind the answer to %s of agent %d", a.ID, a.Agent)})
 	}
-	if a.SentAt < 0 {
+	if a.SentAt < 0 || a.HasLeft {
 		return out
 	}
-	due := a.SentAt + (requestTimeout + fakes.AnswerGrace + answerSlack).Microseconds()
+	due := a.SentAt + (a.timeout() + fakes.AnswerGrace + answerSlack).Microseconds()
 	if !r.owesAnswer(a, due) {
 		return out
 	}
@@ -97,7 +118,7 @@
 }
 
 // owesAnswer tells whether an agent was able and obliged to answer an attempt. A killed or paused process owes nothing; one that was
-// sent SIGTERM owes an answer to what it had received until then.
+// sent SIGTERM owes an answer to what it had received until then, and one that ended by itself to what it received before that.
 func (r *Records) owesAnswer(a Attempt, due netfault.Micros) bool {
 	process := r.lifetimeAt(a.Agent, a.SentAt)
 	if process == nil || process.wasPaused(a.SentAt, due) {
@@ -105,7 +126,8 @@
 	}
 	endedBeforeDue := process.End >= 0 && process.End <= due
 	receivedBeforeTerm := process.TermSentAt >= 0 && a.SentAt <= process.TermSentAt
-	return !endedBeforeDue || receivedBeforeTerm
+	receivedBeforeExit := process.TermSentAt >= 0 && !process.WasKilled && a.SentAt < process.End-exitSlack.Microseconds()
+	return !endedBeforeDue || receivedBeforeTerm || receivedBeforeExit
 }
 
 // checkNoDuplicateEffect: no request with an idempotency key runs twice; what the endpoints dropped as a duplicate did not run.
--- a/internal/faulttest/rules_test.go
+++ b/internal/faulttest/rules_test.go
@@ -96,6 +96,29 @@
 				r.addArrival(0, 1, 12*second+i, classIdempotent, "")
 			}
 		}},
+		{"a short time of its own", "one answer", onAttempt(func(a *Attempt) { a.Timeout, a.EndedAt = second/50, a.SentAt+second })},
+		{"no answer to a client that left", "", onAttempt(func(a *Attempt) { a.Status, a.HasLeft = 0, true })},
+		{"no answer of one that ended by itself", "one answer", func(r *Records) {
+			r.Requests[3].Attempts[0].Status = 0
+			r.Lifetimes[0][0].TermSentAt, r.Lifetimes[0][0].End = 2*second+second/10, 4*second
+		}},
+		{"a kept connection is reset", "kept connections", func(r *Records) { r.Crossings = []Crossing{{IsReset: true}} }},
+		{"one kept connection ends cleanly under a request", "", func(r *Records) { r.Crossings = []Crossing{{}} }},
+		{"several do", "kept connections", func(r *Records) { r.Crossings = []Crossing{{}, {}} }},
+		{"a drain longer than SIGKILL allows", "shutdown", func(r *Records) { r.Lifetimes[1][0].TermSentAt = 5 * second }},
+		{"an exit with an error", "shutdown", func(r *Records) {
+			r.Lifetimes[1][0].TermSentAt, r.Lifetimes[1][0].ExitError = 8*second, "exit status 2"
+		}},
+		{"the same of one that was killed", "", func(r *Records) {
+			r.Lifetimes[1][0].TermSentAt, r.Lifetimes[1][0].ExitError, r.Lifetimes[1][0].WasKilled = 2*second, "killed", true
+		}},
+		{"a connection refused at once after SIGTERM", "shutdown", func(r *Records) {
+			r.Lifetimes[1][0].TermSentAt = 8 * second
+			r.Requests[3].Attempts[0] = Attempt{Agent: 1, SentAt: -1, EndedAt: 8*second + second/10, WasUnreachable: true, Err: "connection refused"}
+		}},
+		{"an attempt for a client that left", "nothing for clients that left", func(r *Records) {
+			r.Requests[3].Attempts[0].ID, r.Requests[3].Attempts[0].HasLeft = "y", true
+		}},
 		{"contrary votes", "no contrary votes", func(r *Records) { r.Votes[1].At = 6 * second }},
 		{"one's own vote on that comes after its vote back", "no contrary votes", func(r *Records) {
 			r.Votes = []Vote{{3 * second, 0, 8, 0, "back"}, {4 * second, 0, 8, 0, "on"}}
--- a/internal/faulttest/runner.go
+++ b/internal/faulttest/runner.go
@@ -66,6 +66,7 @@
 	r.marks[startMark] = r.now()
 	err := r.runSteps()
 	r.stopLoad()
+	r.stopCrowd()
 	r.clients.wait()
 	r.closeFaultRecords(nil)
 	records := r.records()
--- a/internal/faulttest/scenario.go
+++ b/internal/faulttest/scenario.go
@@ -79,6 +79,19 @@
 	Expectations  []Expectation
 }
 
+// Restarts counts the planned restarts of agents.
+func (s *Scenario) Restarts() (count int) {
+	for _, step := range s.Steps {
+		if start, isProcess := step.Action.(processStep); isProcess && start.action == processStart {
+			count += len(start.agents.Numbers)
+			if len(start.agents.Numbers) == 0 {
+				count += s.Agents
+			}
+		}
+	}
+	return count
+}
+
 // Step is one line that does something.
 type Step struct {
 	Line          int
@@ -205,6 +218,13 @@
 		agents     AgentSet
 		keyedShare float64
 		onceShare  float64
+
+		piecesShare, leaveShare, shortShare float64 // of requests sent in pieces, of clients that leave, of requests with little time
+	}
+	crowdStep struct {
+		clients int // at each agent
+		pause   time.Duration
+		agents  AgentSet
 	}
 	faultStep struct {
 		apply         func(*netfault.Fault)
--- /dev/null
+++ b/internal/faulttest/shutdown_rules.go
@@ -0,0 +1,90 @@
+package faulttest
+
+import (
+	"fmt"
+	"strings"
+
+	"switchfork/internal/faulttest/netfault"
+)
+
+// checkKeptConnections: no kept connection is reset under a request of its client, and next to none ends cleanly in the moment in which its
+// client uses it.
+func checkKeptConnections(r *Records) (out []Violation) {
+	for i, crossing := range r.Crossings {
+		if crossing.IsReset || i >= maxCleanCrossings {
+			out = append(out, Violation{
+				ruleKeptConnections, crossing.At,
+				fmt.Sprintf("agent %d ended a kept connection under %s: %s", crossing.Agent, crossing.ID, crossing.Err),
+			})
+		}
+	}
+	return out
+}
+
+// checkShutdown: a process that was asked to end refuses no new connection at first, and ends by itself with status 0 before it would be
+// killed.
+func checkShutdown(r *Records) (out []Violation) {
+	for agent, lifetimes := range r.Lifetimes {
+		for _, process := range lifetimes {
+			out = append(out, r.checkProcessEnd(agent, process)...)
+		}
+	}
+	for _, request := range r.Requests {
+		for _, attempt := range request.Attempts {
+			if process := r.lifetimeAt(attempt.Agent, attempt.EndedAt); process != nil && process.refusedTooEarly(attempt) {
+				out = append(out, Violation{ruleShutdown, attempt.EndedAt, fmt.Sprintf("agent %d refused a connection %.3f s after SIGTERM: %s",
+					attempt.Agent, seconds(attempt.EndedAt-process.TermSentAt), attempt.Err)})
+			}
+		}
+	}
+	return out
+}
+
+func (r *Records) checkProcessEnd(agent int, process ProcessLifetime) (out []Violation) {
+	if process.TermSentAt < 0 || process.WasKilled {
+		return nil
+	}
+	if process.ExitError != "" {
+		out = append(out, Violation{ruleShutdown, process.End, fmt.Sprintf("agent %d ended with %s", agent, process.ExitError)})
+	}
+	end := process.End
+	if end < 0 {
+		end = r.End
+	}
+	if took := end - process.TermSentAt; took > killDelay.Microseconds() && !process.wasPaused(process.TermSentAt, end) {
+		out = append(out, Violation{ruleShutdown, end, fmt.Sprintf("agent %d ran %.3f s after SIGTERM, SIGKILL is due after %v", agent, seconds(took), killDelay)})
+	}
+	return out
+}
+
+// refusedTooEarly tells whether an attempt was refused a connection while new ones still come.
+func (l *ProcessLifetime) refusedTooEarly(a Attempt) bool {
+	since := a.EndedAt - l.TermSentAt
+	isEarly := l.TermSentAt >= 0 && since >= 0 && since <= acceptAfterTerm.Microseconds()
+	return isEarly && a.WasUnreachable && strings.Contains(a.Err, "refused")
+}
+
+// checkNothingForGone: no attempt is sent for a client that has left.
+func checkNothingForGone(r *Records) (out []Violation) {
+	leftAt := map[string]netfault.Micros{}
+	for _, request := range r.Requests {
+		for _, attempt := range request.Attempts {
+			if attempt.HasLeft {
+				leftAt[attempt.ID] = attempt.EndedAt
+			}
+		}
+	}
+	for i, arrival := range r.Arrivals {
+		left, hasLeft := leftAt[arrival.ID]
+		sent := r.SentAt[i]
+		if !hasLeft || sent <= left+goneSlack.Microseconds() {
+			continue
+		}
+		process := r.lifetimeAt(arrival.Agent, sent)
+		if process != nil && !process.wasPaused(left, sent) {
+			out = append(out, Violation{ruleNothingForGone, sent, fmt.Sprintf("agent %d sent %s to appliance %d %.3f s after its client had left",
+				arrival.Agent, arrival.ID, arrival.Endpoint, seconds(sent-left))})
+		}
+	}
+	return out
+}
