An attempt in the fault tests belongs to the process that its connection was dialed to

Trace: its connection was dialed at 7.701 s, its first piece sent to a process that ended at 7.713, 2.6 s after SIGTERM as its drain has to; the second piece was written at 7.722 to the closed connection, 6 ms after the next process had started, to which the rule ascribed it. Change: attempts record when their connection was dialed and are held against that process, which owes no answer to what was not sent whole while it lived. Two cases of TestCheckRulesFindsViolations, one of them a loss that the rule has to find.

--- a/internal/faulttest/client_conn.go
+++ b/internal/faulttest/client_conn.go
@@ -82,6 +82,7 @@
 			a.EndedAt, a.Err, a.WasUnreachable = c.now(), err.Error(), true
 			return a
 		}
+		a.DialedAt = conn.dialedAt
 		isKept, err := c.exchange(conn, &a, serial, n, began, style)
 		if isKept {
 			source.putConn(agent, conn)
--- a/internal/faulttest/records.go
+++ b/internal/faulttest/records.go
@@ -109,8 +109,17 @@
 	Body           string
 	WasUnreachable bool `json:"Unreached"` // no connection came up: the agent has not received it
 
-	Timeout netfault.Micros `json:",omitempty"`     // that the client gave the agent; 0: requestTimeout
-	HasLeft bool            `json:"Gone,omitempty"` // the client closed its connection at EndedAt and wants no answer
+	Timeout  netfault.Micros `json:",omitempty"`     // that the client gave the agent; 0: requestTimeout
+	DialedAt netfault.Micros `json:",omitempty"`     // when its connection was dialed; 0: not known
+	HasLeft  bool            `json:"Gone,omitempty"` // the client closed its connection at EndedAt and wants no answer
+}
+
+// processTime is a time at which the process lived that an attempt was sent to: an attempt may be sent whole when the next one has started.
+func (a *Attempt) processTime() netfault.Micros {
+	if a.DialedAt > 0 {
+		return a.DialedAt
+	}
+	return a.SentAt
 }
 
 // timeout is the time that the client gave the agent.
--- a/internal/faulttest/rules.go
+++ b/internal/faulttest/rules.go
@@ -120,10 +120,13 @@
 // owesAnswer tells whether an agent was able and obliged to answer an attempt. A killed or paused process owes nothing; one that was
 // sent SIGTERM owes an answer to what it had received until then, and one that ended by itself to what it received before that.
 func (r *Records) owesAnswer(a Attempt, due netfault.Micros) bool {
-	process := r.lifetimeAt(a.Agent, a.SentAt)
+	process := r.lifetimeAt(a.Agent, a.processTime())
 	if process == nil || process.wasPaused(a.SentAt, due) {
 		return false
 	}
+	if process.End >= 0 && a.SentAt >= process.End {
+		return false // it was not sent whole while the process lived
+	}
 	endedBeforeDue := process.End >= 0 && process.End <= due
 	receivedBeforeTerm := process.TermSentAt >= 0 && a.SentAt <= process.TermSentAt
 	receivedBeforeExit := process.TermSentAt >= 0 && !process.WasKilled && a.SentAt < process.End-exitSlack.Microseconds()
--- a/internal/faulttest/rules_test.go
+++ b/internal/faulttest/rules_test.go
@@ -102,6 +102,15 @@
 			r.Requests[3].Attempts[0].Status = 0
 			r.Lifetimes[0][0].TermSentAt, r.Lifetimes[0][0].End = 2*second+second/10, 4*second
 		}},
+		{"no answer to what was sent whole after the process had ended", "", func(r *Records) {
+			attempt := &r.Requests[3].Attempts[0]
+			attempt.Status, attempt.DialedAt = 0, attempt.SentAt-second/10
+			r.Lifetimes[0] = []ProcessLifetime{{Start: 0, End: attempt.SentAt - second/20, TermSentAt: second}, {Start: attempt.SentAt - second/50, End: -1, TermSentAt: -1}}
+		}},
+		{"no answer of the process that it was sent to", "one answer", func(r *Records) {
+			attempt := &r.Requests[3].Attempts[0]
+			attempt.Status, attempt.DialedAt = 0, attempt.SentAt-second/10
+		}},
 		{"a kept connection is reset", "kept connections", func(r *Records) { r.Crossings = []Crossing{{IsReset: true}} }},
 		{"one kept connection ends cleanly under a request", "", func(r *Records) { r.Crossings = []Crossing{{}} }},
 		{"several do", "kept connections", func(r *Records) { r.Crossings = []Crossing{{}, {}} }},
