Timers with equal times fire in the order in which they were set

Callers saw: nothing yet. Cause: a new timer was inserted at the first place that its time allowed, before earlier ones of the same time. Change: it goes behind them. Why it holds, and moves no decision: the policy sets one kind of timer, its tick, without a token, so that two of one time are the same event; the simulator's timers are its own.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -15,6 +15,7 @@
 	"log/slog"
 	"runtime/debug"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -131,9 +132,9 @@
 	}
 }
 
-// setTimer inserts a timer by its time.
+// setTimer inserts a timer by its time, behind those of the same time: they fire in the order in which they were set.
 func (l *Loop) setTimer(timer policy.SetTimer) {
-	at, _ := slices.BinarySearchFunc(l.timers, timer.At, func(set policy.SetTimer, at policy.Micros) int { return int(set.At - at) })
+	at := sort.Search(len(l.timers), func(i int) bool { return l.timers[i].At > timer.At })
 	l.timers = slices.Insert(l.timers, at, timer)
 }
 
