A message between replicas that no reader takes is not sent

Cause: the 16-bit length before a message was converted unchecked, and the bound of 1 KiB was the reader's alone. Change: the writer has the same bound, and logs what it does not send. Why it holds: writeMessage is the only place that writes on these connections.

--- a/internal/cluster/transport/length_prefix.go
+++ b/internal/cluster/transport/length_prefix.go
@@ -11,11 +11,15 @@
 // lengthSize is what the length before each message takes on a TCP connection, in big-endian order.
 const lengthSize = 2
 
-// errMessageSize ends a connection on which a message announces a length that none may have.
+// errMessageSize tells of a message with a length that none may have. It ends a connection on which one is announced; none is sent.
 var errMessageSize = errors.New("a message that is empty or longer than is allowed")
 
-// writeMessage writes a message with its length before it, in one call.
+// writeMessage writes a message with its length before it, in one call. One that no reader takes is not written: a length over 16 bits would
+// be cut, and the rest of the message be read as the next ones.
 func writeMessage(conn net.Conn, message []byte) error {
+	if len(message) == 0 || len(message) > maxMessageSize {
+		return errMessageSize
+	}
 	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection, as writing does then
 	buffer := binary.BigEndian.AppendUint16(nil, uint16(len(message)))
 	_, err := conn.Write(append(buffer, message...))
--- a/internal/cluster/transport/tcp.go
+++ b/internal/cluster/transport/tcp.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// maxMessageSize bounds what is read; a longer message ends its connection.
+	// maxMessageSize bounds what is written and read; a longer message that comes all the same ends its connection.
 	maxMessageSize = 1 << 10
 	// maxQueued is what a replica sends to one peer in some leases.
 	maxQueued = 64
@@ -162,7 +162,12 @@
 			retry.Reset()
 			go closeOnHangUp(conn)
 		}
-		if err := writeMessage(conn, message); err != nil {
+		err := writeMessage(conn, message)
+		if errors.Is(err, errMessageSize) {
+			slog.Error("message to a replica not sent", "to", l.address, "bytes", len(message), "err", err)
+			continue
+		}
+		if err != nil {
 			discard(conn) // a part of the message may have been sent: the next one needs a new connection
 			conn = nil
 		}
