Fault tests and fakes check what they say: seeds, loads of one agent, listeners, streams

Change: the seed is the load's place among the loads; a load replaces that of its own agents; the listener is closed; all streams are. Open of the same point: goroutines are not counted after the tests of rare moments.

--- a/internal/fakes/deployment.go
+++ b/internal/fakes/deployment.go
@@ -37,6 +37,7 @@
 	}
 	rolloutListener, err := Listen()
 	if err != nil {
+		_ = discoveryListener.Close() // the first error is the one to report
 		return nil, err
 	}
 	d.Discovery = NewStreamServer(discoveryListener, "\n", keepAliveInterval, d.answerDiscovery)
--- a/internal/fakes/stream_server.go
+++ b/internal/fakes/stream_server.go
@@ -174,13 +174,14 @@
 	}
 }
 
-// CloseStreams closes the stream that was opened last. There has to be one.
+// CloseStreams closes all streams.
 func (s *StreamServer) CloseStreams() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	last := len(s.streams) - 1
-	close(s.streams[last])
-	s.streams = s.streams[:last]
+	for _, stream := range s.streams {
+		close(stream)
+	}
+	s.streams = nil
 }
 
 // SetMuted stops the keep-alives, or resumes them.
--- a/internal/faulttest/actions.go
+++ b/internal/faulttest/actions.go
@@ -11,17 +11,16 @@
 	"switchfork/internal/cluster/coordinator"
 )
 
-func (a loadStep) run(r *runner, s Step) error {
-	r.stopLoad()
-	ctx, stop := context.WithCancel(r.ctx)
-	r.mu.Lock()
-	r.stopClients = stop
-	r.mu.Unlock()
-	r.clients.start(ctx, r.agentNumbers(a.agents), a, r.scenario.Seed*257+int64(s.Line))
+func (a loadStep) run(r *runner, _ Step) error {
+	for _, agent := range r.agentNumbers(a.agents) {
+		ctx, stop := context.WithCancel(r.ctx)
+		r.replaceLoad(agent, stop)
+		r.clients.start(ctx, agent, a, r.scenario.Seed*loadSeedFactor+int64(a.number))
+	}
 	return nil
 }
 
-func (a crowdStep) run(r *runner, s Step) error {
+func (a crowdStep) run(r *runner, _ Step) error {
 	r.stopCrowd()
 	ctx, stop := context.WithCancel(r.ctx)
 	r.mu.Lock()
--- a/internal/faulttest/client_load.go
+++ b/internal/faulttest/client_load.go
@@ -59,15 +59,13 @@
 	return c
 }
 
-// start runs a load at some agents until the context ends.
-func (c *clientLoad) start(ctx context.Context, agents []int, load loadStep, seed int64) {
+// start runs a load at an agent until the context ends.
+func (c *clientLoad) start(ctx context.Context, agent int, load loadStep, seed int64) {
 	if load.rate <= 0 {
 		return
 	}
-	for _, agent := range agents {
-		random := rand.New(rand.NewSource(seed + int64(agent)*agentSeedStep))
-		c.running.Go(func() { c.generate(ctx, agent, load, random) })
-	}
+	random := rand.New(rand.NewSource(seed + int64(agent)*agentSeedStep))
+	c.running.Go(func() { c.generate(ctx, agent, load, random) })
 }
 
 // generate starts requests to an agent, with exponential times between them.
--- a/internal/faulttest/deployment.go
+++ b/internal/faulttest/deployment.go
@@ -19,6 +19,7 @@
 	endpointSeedFactor = 15_485_863
 	discoverySeedSalt  = 1
 	rolloutSeedSalt    = 2
+	loadSeedFactor     = 257
 	crowdSeedFactor    = 389
 	movedSeedSalt      = 3
 )
@@ -47,7 +48,7 @@
 	toDiscovery    [][]*netfault.Stream // by agent; the last one is in use
 	toRollout      [][]*netfault.Stream
 	events         []event
-	stopClients    context.CancelFunc
+	stopClients    map[int]context.CancelFunc // the load's, by agent
 
 	stopCrowdClients context.CancelFunc
 }
@@ -63,7 +64,7 @@
 
 // startDeployment sets all up and starts the agents together. On an error it closes the deployment, which is returned for its records.
 func startDeployment(ctx context.Context, s *Scenario, dir string, options RunOptions) (d *deployment, err error) {
-	d = &deployment{scenario: s, dir: dir, programs: options.Programs, withoutRelays: options.Direct, startedAt: time.Now(), ctx: ctx}
+	d = &deployment{scenario: s, dir: dir, programs: options.Programs, withoutRelays: options.Direct, startedAt: time.Now(), ctx: ctx, stopClients: map[int]context.CancelFunc{}}
 	d.now = func() netfault.Micros { return time.Since(d.startedAt).Microseconds() }
 	defer func() {
 		if err != nil {
@@ -278,14 +279,24 @@
 	return slices.Clone(d.events)
 }
 
-// stopLoad ends the clients' load; requests that were sent go on to their end.
+// replaceLoad ends the load at an agent; requests that were sent go on to their end. stop ends the next one.
+func (d *deployment) replaceLoad(agent int, stop context.CancelFunc) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if previous := d.stopClients[agent]; previous != nil {
+		previous()
+	}
+	d.stopClients[agent] = stop
+}
+
+// stopLoad ends the load at all agents.
 func (d *deployment) stopLoad() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.stopClients != nil {
-		d.stopClients()
+	for _, stop := range d.stopClients {
+		stop()
 	}
-	d.stopClients = nil
+	clear(d.stopClients)
 }
 
 // stopCrowd ends the crowd.
--- a/internal/faulttest/parse_step.go
+++ b/internal/faulttest/parse_step.go
@@ -179,7 +179,8 @@
 }
 
 func (p *parser) loadAction(string) stepAction {
-	load := loadStep{rate: p.number(p.nextToken("txns a second for each agent"), "the load", 0, 5000)}
+	load := loadStep{number: p.loadSteps, rate: p.number(p.nextToken("txns a second for each agent"), "the load", 0, 5000)}
+	p.loadSteps++
 	if v, isSet := p.option("posting"); isSet {
 		load.keyedShare = p.number(v, "posting", 0, 1)
 	}
--- a/internal/faulttest/parser.go
+++ b/internal/faulttest/parser.go
@@ -36,6 +36,7 @@
 	tokens     []string
 	agentNames map[string]bool // bound so far
 	markNames  map[string]bool
+	loadSteps  int // so far
 	errs       []error
 	lineFailed bool // an error of this line was reported; further ones follow from it
 }
--- a/internal/faulttest/parser_test.go
+++ b/internal/faulttest/parser_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -74,3 +75,24 @@
 		t.Errorf("a scenario that expects nothing: %v", err)
 	}
 }
+
+// A load's random seed depends on its place among the loads, not on the line that it stands in: a comment more plays the same arrivals.
+func TestLoadSeedIgnoresComments(t *testing.T) {
+	numbers := func(text string) (numbers []int) {
+		scenario, err := ParseScenario("loads", text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, step := range scenario.Steps {
+			if load, isLoad := step.Action.(loadStep); isLoad {
+				numbers = append(numbers, load.number)
+			}
+		}
+		return numbers
+	}
+	plain := numbers("0s load 5\n1s load 6 agent:1\nexpect offered >= 1\n")
+	commented := numbers("# a comment\n\n0s load 5\n# another\n0s heal all\n1s load 6 agent:1\nexpect offered >= 1\n")
+	if want := []int{0, 1}; !slices.Equal(plain, want) || !slices.Equal(commented, want) {
+		t.Errorf("the loads have the numbers %v and %v, want %v", plain, commented, want)
+	}
+}
--- a/internal/faulttest/scenario.go
+++ b/internal/faulttest/scenario.go
@@ -214,6 +214,7 @@
 
 type (
 	loadStep struct {
+		number     int     // of the scenario's load steps, from 0 on; it is part of the seed
 		rate       float64 // requests a second, at each agent
 		agents     AgentSet
 		keyedShare float64
