A drain that clients keep busy closes its listener before its end, not with it

Callers saw: requests of clients that go on connecting to a draining agent reset when its process ends. Somebody was always connected, so the listener stayed open to the last moment, and the process ended with requests on their way. Change: the listener closes 0.1 s before the end, when open requests are answered, once nobody waits in the system's queue; the drain then waits for the last connections. What is ended has been unused for 50 ms. Why it holds: what is accepted after that has the whole window to be read and answered; later clients are refused and have sent nothing.

--- a/internal/proxy/client_listener.go
+++ b/internal/proxy/client_listener.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -21,6 +22,10 @@
 	// finalAcceptWait is how long the listener waits for one more client before it closes: a connection that is in the system's queue
 	// then is reset without a response.
 	finalAcceptWait = 20 * time.Millisecond
+	// drainIdleTime is for how long a connection has been unused that the end of a drain ends.
+	drainIdleTime = 50 * time.Millisecond
+	// emptyPollInterval is how often a closed listener looks whether its last connections have ended.
+	emptyPollInterval = 2 * time.Millisecond
 )
 
 // clientListener accepts clients while the budget has descriptors, and keeps connections between requests until a descriptor is wanted. A
@@ -42,6 +47,7 @@
 	idleSince       map[*clientConn]time.Time // some may have started a request meanwhile
 	trimRequestedAt time.Time                 // when endpoints were last asked to close connections that they don't use
 	closesWhenEmpty bool                      // the listener closes when no client is connected and none waits
+	closesSoon      bool                      // the listener closes as soon as none waits
 }
 
 func newClientListener(loop *agent.Loop, budget *connlimit.Budget) *clientListener {
@@ -149,13 +155,17 @@
 	}
 }
 
-// endIdle ends the connections that carry no request. It is for the end of a drain: a connection that is ended while its client still
-// uses it may lose the client's next request, which would have been answered and told of the end by its response.
-func (l *clientListener) endIdle() {
+// endIdle ends the connections that have carried no request for some time. It is for the end of a drain: a connection that is ended while
+// its client still uses it may lose the client's next request, which would have been answered and told of the end by its response. One that
+// was just accepted is about to get a request.
+func (l *clientListener) endIdle(minIdle time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
 	for c := range l.conns {
-		c.retire()
+		if c.isUnusedFor(minIdle, now) {
+			c.retire()
+		}
 	}
 }
 
@@ -167,11 +177,38 @@
 	l.setAcceptDeadline()
 }
 
-// shouldClose reports whether the listener is to close and has no connection left.
+// closeSoon closes the listener once it has accepted all that wait, whoever is connected.
+func (l *clientListener) closeSoon() {
+	l.mu.Lock()
+	l.closesSoon = true
+	l.mu.Unlock()
+	l.setAcceptDeadline()
+}
+
+// shouldClose reports whether the listener is to close. The system resets the connections that wait when it closes.
 func (l *clientListener) shouldClose() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.closesWhenEmpty && len(l.conns) == 0
+	isDone := l.closesSoon || l.closesWhenEmpty && len(l.conns) == 0
+	return isDone && tcpconn.AcceptBacklog(l.tcp) == 0
+}
+
+// awaitEmpty ends connections without a request, and waits until no client is connected any more, or until the context ends.
+func (l *clientListener) awaitEmpty(ctx context.Context) error {
+	for {
+		l.endIdle(drainIdleTime)
+		l.mu.Lock()
+		isEmpty := len(l.conns) == 0
+		l.mu.Unlock()
+		if isEmpty {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(emptyPollInterval):
+		}
+	}
 }
 
 // setAcceptDeadline ends a pending accept if no client comes soon.
--- a/internal/proxy/conn_state.go
+++ b/internal/proxy/conn_state.go
@@ -122,6 +122,13 @@
 	}
 }
 
+// isUnusedFor reports whether a connection has carried no request for some time.
+func (c *clientConn) isUnusedFor(minIdle time.Duration, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return (c.state == stateNew || c.state == stateIdle) && now.Sub(c.stateSince) >= minIdle
+}
+
 // retire ends a connection that carries no request, and reports whether it did. A connection with unread bytes is left alone.
 //
 // The client has to learn of the end at once: in whatever time passes between the look for unread bytes and the end, it finds the
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -8,7 +8,8 @@
 const (
 	// lateArrivalWindow is set by the protocol: new connections and requests on their way still arrive for so long after SIGTERM.
 	lateArrivalWindow = 700 * time.Millisecond
-	// finalReplyWindow is how long before the end of a drain open requests are answered: time enough to write the responses.
+	// finalReplyWindow is how long before the end of a drain open requests are answered and the listener is closed: time enough for what
+	// arrives meanwhile to be read, and for the responses to be written.
 	finalReplyWindow = 100 * time.Millisecond
 	// unboundedDrain stands in for the deadline of a drain whose context has none.
 	unboundedDrain = time.Hour
@@ -17,7 +18,8 @@
 // Drain serves what still arrives, closes each connection with its next response, and returns when no client is connected any more. A
 // connection that carries no request stays open for its next one: clients use the connections that they have until these end. One that
 // nobody speaks on ends with its idle timeout, or when the drain's time has nearly run out. Requests that are open then are answered, as
-// nobody will be there to answer them later. http.Server.Shutdown is not used: it closes connections of which half a head has been read,
+// nobody will be there to answer them later, and new connections are refused: clients that go on connecting would otherwise have requests
+// on their way when the process ends, which resets them. http.Server.Shutdown is not used: it closes connections of which half a head has been read,
 // and drops without an answer a request that was read whole after it began.
 func (p *Proxy) Drain(ctx context.Context) error {
 	p.drainDeadline = time.Now().Add(unboundedDrain)
@@ -38,9 +40,10 @@
 			p.listener.closeWhenEmpty()
 		case <-deadlineTimer.C:
 			close(p.drainExpired)
-			p.listener.endIdle()
+			p.listener.endIdle(drainIdleTime)
+			p.listener.closeSoon()
 		case <-p.listener.closed:
-			return nil
+			return p.listener.awaitEmpty(ctx)
 		case <-ctx.Done():
 			p.listener.shutdown()
 			return ctx.Err()
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -106,6 +108,35 @@
 	}
 }
 
+// Clients that go on connecting do not keep the listener open to the end of the drain: it closes when open requests are answered, early
+// enough for what has arrived to be answered as well.
+func TestDrainClosesListenerBeforeItsEnd(t *testing.T) {
+	server := newTestServer(t, 64, false)
+	stays := server.dial(t)
+	stays.send(rawRequest("lookup")[:9]) // half a head: it stays connected
+	server.waitForState(t, stays, stateReading)
+	const within = 600 * time.Millisecond
+	start := time.Now()
+	done := server.startDrain(t, within)
+	for connected := true; connected; { // until it is refused
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server.proxy.listener.Addr().String())
+		if connected = err == nil; !connected {
+			break
+		}
+		client := &testClient{conn, t, bufio.NewReader(conn)}
+		_ = conn.SetDeadline(time.Now().Add(agenttest.WaitTimeout))
+		client.send(rawRequest("lookup"))
+		if _, err := client.readResponse(); err != nil {
+			t.Errorf("sent %v after the drain's start, got %v", time.Since(start), err)
+		}
+		_ = conn.Close()
+	}
+	if took := time.Since(start); took < within-finalReplyWindow || took >= within {
+		t.Errorf("refuses connections after %v", took)
+	}
+	<-done
+}
+
 // A request that crosses the end of an idle connection is dropped with the connection, and its client reads an end, not a reset.
 func TestRequestCrossesTheEnd(t *testing.T) {
 	server := newTestServer(t, 64, false)
--- a/internal/proxy/random_clients_test.go
+++ b/internal/proxy/random_clients_test.go
@@ -124,7 +124,7 @@
 	proxy := r.server.proxy
 	proxy.drainDeadline = time.Now().Add(agenttest.WaitTimeout)
 	proxy.isDraining.Store(true)
-	proxy.listener.endIdle()
+	proxy.listener.endIdle(0)
 	proxy.listener.closeWhenEmpty()
 	done := make(chan error, 1)
 	go func() {
