Descriptors are given back by one method a side, not by two counts

Change: ReleaseClient and ReleaseUpstream. No behaviour is changed; tests of connlimit and upstream green.

--- a/internal/connlimit/budget.go
+++ b/internal/connlimit/budget.go
@@ -73,11 +73,15 @@
 // Freed returns a channel that holds a token after a connection was given back.
 func (b *Budget) Freed() <-chan struct{} { return b.freed }
 
-// Release gives the descriptors of closed connections back.
-func (b *Budget) Release(clients, upstreams int) {
+// ReleaseClient gives the descriptor of a closed connection to a client back.
+func (b *Budget) ReleaseClient() { b.release(&b.clientConns) }
+
+// ReleaseUpstream gives the descriptor of a closed connection to an endpoint back.
+func (b *Budget) ReleaseUpstream() { b.release(&b.upstreamConns) }
+
+func (b *Budget) release(held *int) {
 	b.mu.Lock()
-	b.clientConns -= clients
-	b.upstreamConns -= upstreams
+	*held--
 	b.mu.Unlock()
 	select {
 	case b.freed <- struct{}{}:
--- a/internal/connlimit/budget_test.go
+++ b/internal/connlimit/budget_test.go
@@ -21,11 +21,11 @@
 	if b.AcquireUpstream() {
 		t.Error("endpoints got more than the limit")
 	}
-	b.Release(0, 1)
+	b.ReleaseUpstream()
 	if b.AcquireClient() {
 		t.Error("a client took a descriptor of the endpoints' share")
 	}
-	b.Release(1, 0)
+	b.ReleaseClient()
 	if !b.AcquireClient() || len(b.freed) != 1 {
 		t.Error("a released descriptor can't be acquired")
 	}
--- a/internal/proxy/client_listener.go
+++ b/internal/proxy/client_listener.go
@@ -150,7 +150,7 @@
 	case http.StateClosed, http.StateHijacked:
 		if l.conns[c] {
 			delete(l.conns, c)
-			l.budget.Release(1, 0)
+			l.budget.ReleaseClient()
 		}
 	}
 }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -44,7 +44,7 @@
 	go func() {
 		raw, err := tcpconn.Dial(context.Background(), &e.pool.dialer, target.address, nil)
 		if err != nil {
-			e.pool.config.Budget.Release(0, 1)
+			e.pool.config.Budget.ReleaseUpstream()
 			e.mailbox.Put(dialResult{exchange: exchange, err: err})
 			return
 		}
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -67,7 +67,7 @@
 	conn.isClosed = true
 	close(conn.readNext)
 	_ = conn.Close() // it is not used any more, whatever the error
-	e.pool.config.Budget.Release(0, 1)
+	e.pool.config.Budget.ReleaseUpstream()
 	e.forgetIdle(conn)
 }
 
