--- a/cmd/switchfork/reload.go
+++ b/cmd/switchfork/reload.go
@@ -33,14 +33,15 @@
 
 // reloadConfig applies the addresses that the configuration has changed. Other keys need a restart, and a faulty file changes nothing.
 func (r *reloader) reloadConfig() {
-	next, moved, unapplied, err := r.file.Reload()
+	reloaded, err := r.file.Reload()
 	if err != nil {
 		slog.Error("configuration not reloaded: the old stays in force", "err", err)
 		return
 	}
+	moved := reloaded.Moved
 	slog.Info("configuration reloaded", "discovery", moved.Discovery, "platform.address", moved.Rollout)
-	if len(unapplied) > 0 {
-		slog.Warn("changed configuration keys need a restart", "keys", unapplied)
+	if len(reloaded.Unapplied) > 0 {
+		slog.Warn("changed configuration keys need a restart", "keys", reloaded.Unapplied)
 	}
 	if moved.Discovery != "" {
 		r.process.discovery.Move(moved.Discovery)
@@ -48,7 +49,7 @@
 	if moved.Rollout != "" {
 		r.process.rollout.Move(moved.Rollout)
 	}
-	r.file = next
+	r.file = reloaded.File
 }
 
 // reloadOptions applies the operator's log settings and tenant weights. Other keywords need a restart, and a faulty file changes nothing.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -91,30 +91,36 @@
 	return err
 }
 
-// Reload reads the file again for a running agent, and checks it as at the start. If it is at fault, the returned file
-// is the one in force.
-//
-// The result moved holds the addresses that have changed in the file, empty ones where they have not. It compares file with file:
-// a GW_DISCOVERY that overrode the file at the start can't change any more, so it stays in force until the file names
-// another address than it did then. The result unapplied lists the other keys that have changed, which need a restart.
-func (f *File) Reload() (next *File, moved UpstreamAddresses, unapplied []string, err error) {
-	next, err = Load(f.getenv)
+// Reloaded is a file that was read again, and what differs from the one before.
+type Reloaded struct {
+	File *File
+	// Moved holds the addresses that have changed in the file, empty ones where they have not. File is compared with file: a
+	// GW_DISCOVERY that overrode the file at the start can't change any more, so it stays in force until the file names another
+	// address than it did then.
+	Moved UpstreamAddresses
+	// Unapplied lists the other keys that have changed, which need a restart.
+	Unapplied []string
+}
+
+// Reload reads the file again for a running agent, and checks it as at the start. If it is at fault, the present one stays in force.
+func (f *File) Reload() (Reloaded, error) {
+	next, err := Load(f.getenv)
 	if err != nil {
-		return f, moved, nil, err
+		return Reloaded{}, err
 	}
 	if err = next.Validate(); err != nil {
-		return f, moved, nil, err
+		return Reloaded{}, err
 	}
+	reloaded := Reloaded{File: next}
 	if next.addresses.Discovery != f.addresses.Discovery {
-		moved.Discovery = next.addresses.Discovery
+		reloaded.Moved.Discovery = next.addresses.Discovery
 	}
 	if next.addresses.Rollout != f.addresses.Rollout {
-		moved.Rollout = next.addresses.Rollout
+		reloaded.Moved.Rollout = next.addresses.Rollout
 	}
-	unapplied = append(unapplied, changedKeys(f.Settings, next.Settings)...)
-	unapplied = append(unapplied, changedKeys(f.Deployment, next.Deployment)...)
-	slices.Sort(unapplied)
-	return next, moved, unapplied, nil
+	reloaded.Unapplied = append(changedKeys(f.Settings, next.Settings), changedKeys(f.Deployment, next.Deployment)...)
+	slices.Sort(reloaded.Unapplied)
+	return reloaded, nil
 }
 
 // changedKeys returns the full keys that need a restart and that differ, or that only one of the two has.
