--- a/review/standins/foreign.go
+++ b/review/standins/foreign.go
@@ -41,7 +41,7 @@
 	case foreign > 0:
 		return errBroken
 	case served == 0:
-		return errors.Join(failures...)
+		return fmt.Errorf("no request was served: %w", errors.Join(failures...))
 	}
 	return nil
 }
--- a/review/standins/hidden.go
+++ b/review/standins/hidden.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,7 @@
 	var mu sync.Mutex
 	sent := map[string]bool{}
 	var unsent []string
+	served := 0
 	agent, err := s.startLedger(func(got call) answer {
 		mu.Lock()
 		defer mu.Unlock()
@@ -45,8 +47,14 @@
 					id: fmt.Sprintf("f%015x", c*lookUps+round), deadline: expiry,
 				}
 				register(t.id)
-				if conn, err := s.send(agent, t); err == nil {
-					_, _ = s.receive(conn, t, time.Now().Add(expiry))
+				conn, err := s.send(agent, t)
+				if err != nil {
+					continue
+				}
+				if got, err := s.receive(conn, t, time.Now().Add(expiry)); err == nil && got.status == http.StatusOK {
+					mu.Lock()
+					served++
+					mu.Unlock()
 				}
 			}
 		})
@@ -60,8 +68,11 @@
 	mu.Lock()
 	defer mu.Unlock()
 	s.record.note("hosts ran %d requests that no client had sent, of %d bad clients", len(unsent), badClients)
-	if len(unsent) > 0 {
+	switch {
+	case len(unsent) > 0:
 		return errBroken
+	case served == 0:
+		return errors.New("no usual client was served")
 	}
 	return nil
 }
--- a/review/standins/unanswered.go
+++ b/review/standins/unanswered.go
@@ -50,7 +50,7 @@
 	case lost > 0:
 		return errBroken
 	case awaited == 0:
-		return errors.Join(failures...)
+		return fmt.Errorf("no answer was awaited: %w", errors.Join(failures...))
 	}
 	return nil
 }
