proxy: log requests that arrive before the response to the previous one

Four guesses stood open: the guard is not reached; the guard is reached and sees no Transfer-Encoding; the request is passed on with both headers and the endpoint splits it; the connection's read-ahead buffer gives out bytes twice.

Change: a connection remembers how its last request told its length, and whether bytes of the next one came before the response was written: in net/http's buffer (no read between two heads) or in the read-ahead buffer. Such a request is counted and logged, once a second at most.

--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -40,11 +40,13 @@
 	requestStart  time.Time // when the first byte of the request was read
 	stateDeadline time.Time // when the state times out; zero: never
 	stateTimer    *time.Timer
-	timedOut      bool   // the head or the body of the request took too long to arrive
-	readAhead     []byte // bytes that the client sent before the response to its last request
-	hasWritten    bool   // something was written since the connection was last idle
-	isHalfClosed  bool   // half closed by retire, so that the client is notified of the close
-	isLingering   bool   // half closed by Close, which waits for the client to close
+	timedOut      bool           // the head or the body of the request took too long to arrive
+	readAhead     []byte         // bytes that the client sent before the response to its last request
+	hasWritten    bool           // something was written since the connection was last idle
+	isPipelined   bool           // bytes of the next request arrived before the response to the last one was written
+	lastFraming   requestFraming // of the last request whose head has been read
+	isHalfClosed  bool           // half closed by retire, so that the client is notified of the close
+	isLingering   bool           // half closed by Close, which waits for the client to close
 }
 
 // ReadFrom copies through Write. It hides the ReadFrom of net.TCPConn, which may have the kernel copy the data and bypass Write.
@@ -131,6 +133,9 @@
 func (c *clientConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	c.hasWritten = true
+	if len(c.readAhead) > 0 {
+		c.isPipelined = true
+	}
 	c.mu.Unlock()
 	return c.TCPConn.Write(b)
 }
--- a/internal/proxy/conn_state.go
+++ b/internal/proxy/conn_state.go
@@ -66,7 +66,8 @@
 func (c *clientConn) headReceived() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != stateReading {
+	if c.state != stateReading { // no byte was read since the last response: the request was in net/http's buffer
+		c.isPipelined = true
 		c.startRequest()
 	}
 	c.clearTimeout()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -49,6 +49,7 @@
 		if p.isDraining.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		p.logIfPipelined(r)
 		// A request class may have the name of this path. The requests of such a class have ids, health checks have none.
 		if r.URL.Path == healthPath && r.Header.Get(requestIDHeader) == "" {
 			p.serveHealth(w)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -43,6 +43,7 @@
 	decoder         *requestDecoder
 	lastRequestID   atomic.Uint64
 	openRequests    atomic.Int64
+	pipelined       atomic.Int64 // requests that arrived before the response to the previous one was written
 	requestIDs      *requestIDSet
 	maxOpenRequests int
 	maxRetryAfter   policy.Micros
