proxy: reject HTTP/1.0, whose Transfer-Encoding could hide another request

What callers saw: a client sends a request in HTTP/1.0 with Connection: keep-alive, Content-Length and Transfer-Encoding, and the text of another request in its chunked body.

Cause: the guard looked at http.Request.TransferEncoding. net/http deletes the header of a request in HTTP/1.0 before it looks at it (transfer.go, parseTransferEncoding) and leaves the field empty, so that the guard saw a usual request. What followed the Content-Length was the next request in net/http's buffer.

Change: what is not HTTP/1.1 is answered with 505 and closes its connection, a health check in HTTP/1.0 is answered and closes it too. Nothing behind such a request is read as a request, whatever stands in its head, so this works although the header can't be seen. Serving HTTP/1.0 and closing would pass on the first request, which is owed an error. The protocol has HTTP/1.1 only.

--- a/internal/endtoend/client_input_test.go
+++ b/internal/endtoend/client_input_test.go
@@ -77,3 +77,17 @@
 		t.Errorf("got %d attempts at the endpoint, want none: %+v", n, endpoint.Requests())
 	}
 }
+
+// A request that HTTP/1.0's Transfer-Encoding hides in the body of another reaches no endpoint, and neither does the other.
+func TestRequestHiddenInHTTP10ReachesNoEndpoint(t *testing.T) {
+	endpoint := agenttest.NewScriptedServer(t, fakes.Respond(fakes.OKResponse("done")))
+	agent := startReadyAgent(t, fakes.ListEntry("s-1", endpoint.Addr(), "active", 41))
+	got := agent.exchangeRaw(t, "POST /posting HTTP/1.0\r\nX-Request-Id: 1\r\nIdempotency-Key: k\r\nConnection: keep-alive\r\n"+
+		"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n2f\r\nGET /lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: 2\r\n\r\n\r\n0\r\n\r\n")
+	if !strings.HasPrefix(got, "HTTP/1.0 505") || strings.Count(got, "\r\n\r\n") != 1 {
+		t.Errorf("got %q, want one response with status 505", got)
+	}
+	if n := len(endpoint.Requests()); n != 0 {
+		t.Errorf("got %d attempts at the endpoint, want none: %+v", n, endpoint.Requests())
+	}
+}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -43,10 +43,11 @@
 	}
 }
 
-// newHandler answers health checks, rejects requests with a Transfer-Encoding, and passes all others to next.
+// newHandler answers health checks, rejects requests whose end is ambiguous, and passes all others to next. A response to a request that is not in
+// HTTP/1.1 closes its connection.
 func (p *Proxy) newHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if p.isDraining.Load() {
+		if p.isDraining.Load() || !isHTTP11(r) {
 			w.Header().Set("Connection", "close")
 		}
 		p.logIfPipelined(r)
@@ -55,8 +56,8 @@
 			p.serveHealth(w)
 			return
 		}
-		if len(r.TransferEncoding) > 0 {
-			rejectTransferEncoding(w)
+		if invalid := checkFraming(r); invalid != nil {
+			rejectFraming(w, invalid)
 			return
 		}
 		// The target is forwarded as the client sent it, even if ReverseProxy would clean it.
@@ -72,16 +73,6 @@
 	_, _ = io.WriteString(w, "ok\n") // fails only if the client has disconnected
 }
 
-// rejectTransferEncoding rejects a request with a Transfer-Encoding and closes the connection. Clients of the protocol send a
-// Content-Length. If a request has both headers, net/http reads the chunks and ignores the length. Bytes that another reader takes for the
-// rest of the body would then be served as the next request, so nothing that follows the request is read.
-func rejectTransferEncoding(w http.ResponseWriter) {
-	invalid := &requestError{status: http.StatusLengthRequired, reason: "a body needs a Content-Length and no Transfer-Encoding"}
-	w.Header().Set("Connection", "close")
-	http.Error(w, invalid.reason, invalid.status)
-	invalid.log()
-}
-
 // closeConnIfNeeded makes a response announce that its connection closes. It does so during a drain, while few descriptors are left for
 // endpoints, and once for each client that waits for a descriptor. A close that a response announces is the only kind that can't coincide
 // with the client's next request.
