proxy: check a health check's framing too, which could hide a request

What callers saw: GET /_health in HTTP/1.1 with Content-Length and Transfer-Encoding was answered with 200 on a connection that stayed open. The text behind its last chunk, a part of its body by the Content-Length, was served as the next request.

Cause: the handler answered health checks before the guard against such requests.

Evidence: TestHiddenRequestInHealthCheckIsNotServed got 200, then 503 for the hidden request, which the router got; the log line says previous_protocol=HTTP/1.1 previous_content_length=-1 previous_transfer_encoding=[chunked].

Change: the guard is the handler's first case. 411 closes the connection, so nothing behind the head is read as a request. HTTP/1.0 comes after the health check, as its responses close the connection on every path.

--- a/internal/proxy/framing_test.go
+++ b/internal/proxy/framing_test.go
@@ -77,3 +77,9 @@
 		t.Errorf("%d requests were handed to the router, want none", n)
 	}
 }
+
+// A health check with a Transfer-Encoding does not get past the check of the framing, and no request in its body is served.
+func TestHiddenRequestInHealthCheckIsNotServed(t *testing.T) {
+	raw := ambiguousRequest("GET /_health HTTP/1.1", "Content-Length: LENGTH\r\nTransfer-Encoding: chunked\r\n", true)
+	expectNothingServed(t, strings.Replace(raw, "X-Request-Id", "X-Other", 1)) // a health check has no id
+}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -51,20 +51,26 @@
 			w.Header().Set("Connection", "close")
 		}
 		p.logIfPipelined(r)
-		// A request class may have the name of this path. The requests of such a class have ids, health checks have none.
-		if r.URL.Path == healthPath && r.Header.Get(requestIDHeader) == "" {
+		switch {
+		case hasTransferEncoding(r): // before all that keeps the connection open
+			rejectTransferEncoding(w)
+		case isHealthCheck(r):
 			p.serveHealth(w)
-			return
+		case !isHTTP11(r):
+			rejectVersion(w, r)
+		default:
+			// The target is forwarded as the client sent it, even if ReverseProxy would clean it.
+			next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), targetKey{}, r.RequestURI)))
 		}
-		if invalid := checkFraming(r); invalid != nil {
-			rejectFraming(w, invalid)
-			return
-		}
-		// The target is forwarded as the client sent it, even if ReverseProxy would clean it.
-		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), targetKey{}, r.RequestURI)))
 	})
 }
 
+// isHealthCheck reports whether a request is a health check. A request class may have the name of its path. The requests of such a class have
+// ids, health checks have none.
+func isHealthCheck(r *http.Request) bool {
+	return r.URL.Path == healthPath && r.Header.Get(requestIDHeader) == ""
+}
+
 func (p *Proxy) serveHealth(w http.ResponseWriter) {
 	if p.isDraining.Load() {
 		http.Error(w, "draining", http.StatusServiceUnavailable)
