proxy: answer OPTIONS * in the handler, past which it could hide a request

What callers saw: OPTIONS * got 200 in HTTP/1.0 and 1.1, also with Content-Length and Transfer-Encoding, and a request in its body was served. A client that sends a request of no class is owed an error.

Cause: net/http answers OPTIONS * by globalOptionsHandler, beside the agent's handler, so that the guard never sees it.

Change: DisableGeneralOptionsHandler, so that every request that net/http takes comes to the one handler: 411, 505, or 404 for the target. What else net/http answers by itself (an unknown Expect, an unreadable head, other encodings) closes the connection there.

--- a/internal/proxy/framing_test.go
+++ b/internal/proxy/framing_test.go
@@ -83,3 +83,18 @@
 	raw := ambiguousRequest("GET /_health HTTP/1.1", "Content-Length: LENGTH\r\nTransfer-Encoding: chunked\r\n", true)
 	expectNothingServed(t, strings.Replace(raw, "X-Request-Id", "X-Other", 1)) // a health check has no id
 }
+
+// OPTIONS * does not get past the check of the framing: net/http must not answer it by itself.
+func TestHiddenRequestInServerOptionsIsNotServed(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		t.Run(version, func(t *testing.T) {
+			headers := "Connection: keep-alive\r\nContent-Length: LENGTH\r\nTransfer-Encoding: chunked\r\n"
+			expectNothingServed(t, ambiguousRequest("OPTIONS * "+version, headers, version == "HTTP/1.1"))
+		})
+	}
+	t.Run("without a body", func(t *testing.T) {
+		client := newTestServer(t, false).dial(t)
+		client.send("OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n")
+		client.expectResponse(http.StatusNotFound, false)
+	})
+}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -40,6 +40,8 @@
 			return context.WithValue(ctx, connKey{}, conn)
 		},
 		Handler: p.newHandler(reverseProxy),
+		// Every request goes to the handler, OPTIONS * too.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
