upstream: a response in HTTP/1.0 with a transfer encoding is malformed

What callers saw: where an endpoint, or a proxy before it, answered in HTTP/1.0 with Content-Length and Transfer-Encoding, the agent served 200 with the first bytes of the chunked text ("4\r\nd" for "done"): not the answer made for the request.

Evidence: two forms in TestAttemptResults ended as succeeded.

Change: before net/http reads a response in HTTP/1.0, its head is looked at in the read buffer, without consuming it; with a Transfer-Encoding, or if it is longer than the buffer of 4 KiB, the response is malformed. A response in HTTP/1.0 with a length is served as before (two forms of the test). Other versions cost a comparison of eight bytes.

--- a/internal/upstream/response_reader.go
+++ b/internal/upstream/response_reader.go
@@ -84,6 +84,9 @@
 
 // readResponse reads one response. It returns nil for an interim response.
 func readResponse(from *bufio.Reader, loadReportFields []string) (*protocol.Response, error) {
+	if err := checkHTTP10(from); err != nil {
+		return nil, err
+	}
 	r, err := http.ReadResponse(from, nil)
 	if err != nil {
 		return nil, err
--- a/internal/upstream/results_test.go
+++ b/internal/upstream/results_test.go
@@ -47,6 +47,21 @@
 		{"length of 3 GB", fakes.Respond("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<20)), policy.Malformed, 1},
 		{"chunks without end", fakes.Respond("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
 			strings.Repeat("400\r\n"+strings.Repeat("x", 1024)+"\r\n", 999)), policy.Malformed, 1},
+		{"HTTP/1.0 with an encoding that net/http ignores", fakes.Respond("HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 4\r\n" +
+			"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), policy.Malformed, 1},
+		{
+			"HTTP/1.0 with such an encoding in small type", fakes.Respond("HTTP/1.0 200 OK\ncontent-length: 4\ntransfer-encoding:\n chunked\n\n4\ndone\n0\n\n"),
+			policy.Malformed, 1,
+		},
+		{
+			"HTTP/1.0 with a head over the read buffer", fakes.Respond("HTTP/1.0 200 OK\r\nX: " + strings.Repeat("x", 5<<10) + "\r\nContent-Length: 4\r\n\r\ndone"),
+			policy.Malformed, 1,
+		},
+		{"HTTP/1.0", fakes.Respond("HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\ndone"), policy.OK, 1},
+		{
+			"HTTP/1.0 with an interim response", fakes.Respond("HTTP/1.0 102 Wait\r\n\r\nHTTP/1.0 200 OK\r\nContent-Length: 4\r\nX: transfer-encoding\r\n\r\ndone"),
+			policy.OK, 1,
+		},
 		{"client error", fakes.Respond("HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n"), policy.NotAttempted, 1},
 		{"response too long", fakes.Respond("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), policy.Malformed, 1},
 		{"timed out", fakes.NeverRespond, policy.TimedOut, 1},
