admission: a retry shares the answer only of a request that asks for the same

No endpoint ran the retry, and nobody could tell.

Cause: without an idempotency key a request was known by tenant, class, client and session key alone, so the latest request with these was taken for the first attempt of any request marked as a retry. A request with the idempotency key of another and another body or target shared its answer likewise.

Evidence: TestOnlySameRequestSharesAnswer shared a wrong answer in four of six forms before; TestRetryGetsAnswerToItsOwnQuestion (real program) had one question at the endpoint instead of two; TestEveryRequestGetsOneFinalAnswer, which now also compares what shares an answer, failed at the first draw.

Without an idempotency key, the content is a part of the retry key, so that another question is another request; an answer is shared only if content and headers are equal; with the key of a request in progress, another content or header waits for its end. So nothing but the answer to an equal request can be handed out. The line admission counts the answers shared (coalesced).

On related paths: reservations are kept by the retry key too, and a second question took the reservation of the first (TestQuestionsAboutOneObjectHaveReservationsOfTheirOwn, 1 instead of 2 before).

--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -20,6 +20,7 @@
 	coalesced    map[uint64][]uint64 // IDs of the retries that share the request's answer
 	rejected     map[uint64]Command
 	admitted     []uint64 // IDs in the order of admission
+	arrivals     map[uint64]Arrival
 }
 
 // The classes that testClasses returns.
@@ -59,6 +60,7 @@
 		inProgress:   map[uint64]bool{},
 		coalesced:    map[uint64][]uint64{},
 		rejected:     map[uint64]Command{},
+		arrivals:     map[uint64]Arrival{},
 	}
 }
 
@@ -96,6 +98,7 @@
 	if arrival.Deadline == 0 {
 		arrival.Deadline = c.now + testTimeout
 	}
+	c.arrivals[arrival.ID] = arrival
 	c.apply(c.Arrive(c.now, arrival))
 }
 
@@ -135,7 +138,7 @@
 }
 
 func drawArrival(t *rapid.T, id uint64, now Micros) Arrival {
-	return Arrival{
+	arrival := Arrival{
 		ID:       id,
 		Tenant:   rapid.IntRange(-1, 4).Draw(t, "tenant"),
 		Client:   rapid.Uint64Range(1, 9).Draw(t, "client"),
@@ -146,10 +149,15 @@
 		Deadline: now + rapid.Int64Range(1, 3*second).Draw(t, "deadline"),
 		Bytes:    rapid.IntRange(0, 900).Draw(t, "bytes"),
 	}
+	// Derived from other draws, so that recorded sequences of draws stay valid.
+	arrival.Content = Fingerprint{byte(arrival.Bytes & 1)}
+	arrival.Headers = Fingerprint{byte(arrival.CostHint & 1)}
+	return arrival
 }
 
-// checkInvariants fails the test if a limit is exceeded, if the controller counts the requests in progress wrongly, or if two
-// requests with the same idempotency key are in progress at the same time. idempotencyKeys are by request ID.
+// checkInvariants fails the test if a limit is exceeded, if the controller counts the requests in progress wrongly, if two requests
+// with the same idempotency key are in progress at the same time, or if requests that differ share an answer. idempotencyKeys are by
+// request ID.
 func (c *testController) checkInvariants(t *rapid.T, limits Limits, idempotencyKeys map[uint64]uint64) {
 	t.Helper()
 	status := c.Status()
@@ -161,6 +169,14 @@
 	if status.InProgress != len(c.inProgress) {
 		t.Fatalf("%d requests are in progress, but the controller counts %d", len(c.inProgress), status.InProgress)
 	}
+	for leaderID, retries := range c.coalesced {
+		for _, id := range retries {
+			leader, retry := c.arrivals[leaderID], c.arrivals[id]
+			if leader.Class != retry.Class || leader.Key != retry.Key || leader.Content != retry.Content || leader.Headers != retry.Headers {
+				t.Fatalf("request %+v shares the answer to %+v", retry, leader)
+			}
+		}
+	}
 	holders := map[uint64]uint64{}
 	for id := range c.inProgress {
 		key := idempotencyKeys[id]
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -1,5 +1,17 @@
 package admission
 
+import (
+	"crypto/sha256"
+	"encoding/binary"
+)
+
+// Fingerprint is a cryptographic hash of a part of a request. Requests with equal fingerprints are equal in that part: no client can make a
+// request that has the fingerprint of another.
+type Fingerprint [sha256.Size]byte
+
+// short returns the first bytes of a fingerprint, for a key that is not compared any further.
+func (f Fingerprint) short() uint64 { return binary.LittleEndian.Uint64(f[:]) }
+
 // Arrival describes a request that has just arrived.
 type Arrival struct {
 	ID       uint64
@@ -11,6 +23,14 @@
 	CostHint Micros // the client's estimate of the work; 0 if it gave none
 	Deadline Micros
 	Bytes    int // size of the body
+
+	Content Fingerprint // of the method, the target and the body
+	Headers Fingerprint // of the headers that an endpoint may read and that are equal in all attempts
+}
+
+// sharesAnswer reports whether the answer to an attempt is also the answer to another one with the same retry key.
+func (a *Arrival) sharesAnswer(other *Arrival) bool {
+	return a.Content == other.Content && a.Headers == other.Headers
 }
 
 // Result says how an admitted request ended.
--- a/internal/admission/retries.go
+++ b/internal/admission/retries.go
@@ -32,17 +32,18 @@
 }
 
 // followInProgress attaches a retry to an earlier attempt that is in progress, because two attempts of a request must not be in
-// progress at the same time. The retry shares the answer, or waits until the earlier attempt has finished.
+// progress at the same time. The retry shares the answer, or waits until the earlier attempt has finished. It waits, too, if it has the
+// earlier attempt's idempotency key but asks for something else.
 func (c *Controller) followInProgress(leader, retry *trackedRequest) {
-	if previous := leader.follower; previous != nil {
-		c.reject(previous, Replaced)
-	}
-	if c.coalescesRetries {
+	if c.coalescesRetries && retry.sharesAnswer(&leader.Arrival) {
 		c.Counters.Coalesced++
 		c.emit(Command{Kind: Coalesce, ID: retry.ID, LeaderID: leader.ID})
 		c.requests.release(retry)
 		return
 	}
+	if previous := leader.follower; previous != nil {
+		c.reject(previous, Replaced)
+	}
 	retry.waitDeadline = retry.Deadline
 	if c.drain.isAnnounced() {
 		retry.waitDeadline = min(retry.waitDeadline, c.drain.deadline)
--- a/internal/admission/retries_test.go
+++ b/internal/admission/retries_test.go
@@ -59,3 +59,53 @@
 		t.Errorf("got %d rejoined requests and rejections %v, want 1 and request 3 rejected as replaced", c.Counters.Rejoined, c.rejected)
 	}
 }
+
+// A retry shares the answer of an earlier attempt only if it asks for the same: with another target, body or header it may be owed another
+// answer. With the idempotency key of an attempt in progress it waits for its end; without a key it is a request of its own.
+func TestOnlySameRequestSharesAnswer(t *testing.T) {
+	otherContent := func(a *Arrival) { a.Content[0]++ }
+	otherHeaders := func(a *Arrival) { a.Headers[0]++ }
+	same := func(*Arrival) {}
+	for _, test := range []struct {
+		name           string
+		class          int
+		change         func(*Arrival)
+		wantCoalesced  bool
+		wantInProgress bool
+	}{
+		{"the same, without a key", unkeyedClass, same, true, false},
+		{"the same, with a key", keyedClass, same, true, false},
+		{"other content, without a key", unkeyedClass, otherContent, false, true},
+		{"other content, with a key", keyedClass, otherContent, false, false},
+		{"other headers, without a key", unkeyedClass, otherHeaders, false, false},
+		{"other headers, with a key", keyedClass, otherHeaders, false, false},
+	} {
+		c := newTestController([]float64{1}, Limits{Requests: 100, Bytes: 1 << 20, Queues: 8}, true)
+		c.arrive(Arrival{ID: 1, Client: 1, Class: test.class, Key: 5})
+		retry := Arrival{ID: 2, Client: 1, Class: test.class, Key: 5, IsRetry: true}
+		test.change(&retry)
+		c.arrive(retry)
+		if c.isCoalesced(2) != test.wantCoalesced || c.inProgress[2] != test.wantInProgress {
+			t.Errorf("%s: got coalesced %t and in progress %t, want %t and %t", test.name, c.isCoalesced(2), c.inProgress[2], test.wantCoalesced, test.wantInProgress)
+		}
+		c.finish(1, Succeeded)
+		if c.finalAnswers[2] == 0 && !c.inProgress[2] {
+			t.Errorf("%s: the second request is neither answered nor in progress after the first has finished", test.name)
+		}
+	}
+}
+
+// Two questions of one client about one object, both rejected, hold a reservation each. The first to return does not take the other's.
+func TestQuestionsAboutOneObjectHaveReservationsOfTheirOwn(t *testing.T) {
+	c := newTestController([]float64{1}, Limits{Requests: 2, Bytes: 1 << 20, Queues: 8}, true)
+	fixLimit(c, 2)
+	for id := uint64(1); id <= 2; id++ {
+		c.arrive(Arrival{ID: id, Client: id, CostHint: millisecond})
+	}
+	for id := uint64(3); id <= 4; id++ {
+		c.arrive(Arrival{ID: id, Client: 9, Key: 5, Content: Fingerprint{byte(id)}, CostHint: millisecond})
+	}
+	if c.reservations.count() != 2 {
+		t.Errorf("got %d reservations after the rejections %v, want 2", c.reservations.count(), c.rejected)
+	}
+}
--- a/internal/admission/retry_index.go
+++ b/internal/admission/retry_index.go
@@ -15,16 +15,17 @@
 }
 
 // keyOf returns the retry key, which is the same for all attempts of a request. In a keyed class it is a hash of
-// tenant, class and idempotency key. In other classes it is a hash of tenant, class, client and the object that the request
-// concerns. The retry key of a request with neither key nor object identifies only the client's reservation; the request is never
-// found by it.
+// tenant, class and idempotency key. In other classes it is a hash of tenant, class, client, the object that the request concerns
+// and the request's content, because a client may ask several things about one object. The retry key of a request with neither key
+// nor object identifies only the client's reservation; the request is never found by it.
 func (x *retryIndex) keyOf(arrival *Arrival) uint64 {
 	hash := hashing.Mix64(x.hashSeed ^ uint64(arrival.Tenant)<<32 ^ uint64(arrival.Class))
 	switch {
 	case arrival.Key != 0 && x.classes[arrival.Class].Keyed:
 		return hashing.Mix64(hash ^ arrival.Key)
 	case arrival.Key != 0:
-		return hashing.Mix64(hashing.Mix64(hash^arrival.Key) + arrival.Client)
+		object := hashing.Mix64(hashing.Mix64(hash^arrival.Key) + arrival.Client)
+		return hashing.Mix64(object ^ arrival.Content.short())
 	}
 	return hashing.Mix64(hashing.Mix64(hash) + arrival.Client)
 }
--- a/internal/endtoend/admission_test.go
+++ b/internal/endtoend/admission_test.go
@@ -132,3 +132,34 @@
 		t.Errorf("requests of the flood: got %d rejected and %d successful, want %d and %d", rejected, succeeded, floodSize-capacity+otherTenantRequests, capacity-otherTenantRequests)
 	}
 }
+
+// A marked retry is never served the answer to another question about the same object, which is in progress.
+func TestRetryGetsAnswerToItsOwnQuestion(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "operator.conf")
+	if err := os.WriteFile(file, []byte("admission-control on\ncoalesce-requests on\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("SWITCHFORK_OPERATOR", file)
+	var bothAsked sync.WaitGroup
+	bothAsked.Add(2)
+	endpoint := agenttest.NewScriptedServer(t, nil)
+	endpoint.SetHandler(func(c net.Conn, nth int) bool {
+		bothAsked.Done()
+		bothAsked.Wait()
+		return fakes.Respond(fakes.OKResponse(endpoint.Requests()[nth-1].RequestLine))(c, nth)
+	})
+	agent := startReadyAgent(t, fakes.ListEntry("s-1", endpoint.Addr(), "active", 41))
+	var pending sync.WaitGroup
+	ask := func(target string, headers ...string) {
+		pending.Go(func() {
+			got, err := agent.tryRequest(t.Context(), http.MethodGet, target, "", headers...)
+			if err != nil || got.status != http.StatusOK || got.body != "GET "+target {
+				t.Errorf("%s: got status %d with %q, error %v; want 200 with its own answer", target, got.status, got.body, err)
+			}
+		})
+	}
+	ask("/lookup?sid=0000000000000007&copies=5000")
+	agenttest.Eventually(t, "the first question at the endpoint", func() bool { return len(endpoint.Requests()) == 1 })
+	ask("/lookup?sid=0000000000000007&copies=100", "X-Retry", "1")
+	pending.Wait()
+}
--- a/internal/proxy/admission_summary.go
+++ b/internal/proxy/admission_summary.go
@@ -36,6 +36,7 @@
 		"arrived", now.Arrived-last.Arrived,
 		"admitted", now.Admitted-last.Admitted,
 		"rejoined", now.Rejoined-last.Rejoined,
+		"coalesced", now.Coalesced-last.Coalesced,
 		"rejected_too_late", now.Rejected[admission.TooLate]-last.Rejected[admission.TooLate],
 		"rejected_no_capacity", now.Rejected[admission.NoCapacity]-last.Rejected[admission.NoCapacity],
 		"reserved", now.Reserved-last.Reserved,
--- a/internal/proxy/round_trip.go
+++ b/internal/proxy/round_trip.go
@@ -130,6 +130,8 @@
 			CostHint: event.CostHint,
 			Deadline: event.Deadline,
 			Bytes:    len(request.Encoded.Head) + len(received.body),
+			Content:  contentFingerprint(r.Method, received.target, received.body),
+			Headers:  headersFingerprint(r.Host, r.Header),
 		},
 		event:   event,
 		request: request,
