agent: a retry that shares an answer gets one, whatever becomes of its leader

Cause: the retry joins the first request if the agent learns of the retry before the close. Cancelling the first request marked it as answered, and neither that nor its attempt's response answered the retries that had joined. Nothing applied their own deadlines.

Change: the event loop keeps a record of each joined retry. It gets the leader's reply, or a reply at its own deadline, or, if the leader's client has gone and the attempt in flight brought no response, it goes back to the admission loop after the leader's end and is admitted by itself. So every way in which a leader ends leads to a reply. The policy still forgets a request whose client leaves at once: no attempt may begin for it after 0.1 s. A retry whose client leaves is taken out alone, and its X-Request-Id stays taken until it has ended. A retry that comes while the attempt of a client that has left is in flight gets its response; it was rejected. The line admission has returned, beside coalesced.

The existing test of coalesced retries passes a record now and checks the same.

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"switchfork/internal/policy"
 )
@@ -13,7 +14,9 @@
 		l.requests.add(m.event.ID, m.request)
 		l.handle(m.event)
 	case requestCoalesced:
-		l.requests.coalesce(m.leaderID, m.request)
+		l.coalesce(m.retry)
+	case retryExpired:
+		l.requests.retries.expire(m.id)
 	case attemptFinished:
 		result := m.AttemptResult
 		result.RequestDone = l.requests.finishAttempt(m.AttemptFinished)
@@ -47,3 +50,12 @@
 	}
 	l.handle(event)
 }
+
+// coalesce makes a retry wait for the reply to its leader until the retry's own deadline.
+func (l *Loop) coalesce(retry *JoinedRetry) {
+	if !l.requests.coalesce(retry) {
+		return
+	}
+	id := retry.ID
+	retry.expiry = time.AfterFunc(time.Until(retry.Request.Deadline), func() { l.mailbox.Put(retryExpired{id}) })
+}
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -22,10 +22,10 @@
 	}
 
 	// requestCoalesced is a client's retry that gets the reply of the request that it repeats, the leader.
-	requestCoalesced struct {
-		leaderID uint64
-		request  *Request
-	}
+	requestCoalesced struct{ retry *JoinedRetry }
+
+	// retryExpired reports that the deadline of a retry has come that may still wait for the reply to its leader.
+	retryExpired struct{ id uint64 }
 
 	// attemptFinished is an endpoint's result of an attempt.
 	attemptFinished struct{ upstream.AttemptFinished }
@@ -46,6 +46,7 @@
 func (policyEvent) isMessage()          {}
 func (requestArrived) isMessage()       {}
 func (requestCoalesced) isMessage()     {}
+func (retryExpired) isMessage()         {}
 func (attemptFinished) isMessage()      {}
 func (connectionsExhausted) isMessage() {}
 func (EndpointList) isMessage()         {}
@@ -59,10 +60,8 @@
 	l.mailbox.Put(requestArrived{event, request})
 }
 
-// Coalesce answers a client's retry with the reply of the request that it repeats.
-func (l *Loop) Coalesce(leaderID uint64, request *Request) {
-	l.mailbox.Put(requestCoalesced{leaderID, request})
-}
+// Coalesce answers a client's retry with the reply of the request that it repeats, at the retry's deadline at the latest, or returns it.
+func (l *Loop) Coalesce(retry *JoinedRetry) { l.mailbox.Put(requestCoalesced{retry}) }
 
 // UpdateEndpoints hands a change of the endpoint list to the loop, which handles it ahead of all waiting messages that are not urgent.
 func (l *Loop) UpdateEndpoints(list EndpointList) { l.urgent.Put(list) }
--- a/internal/agent/open_requests.go
+++ b/internal/agent/open_requests.go
@@ -10,11 +10,12 @@
 // The loop's goroutine owns it.
 type openRequests struct {
 	byID     map[uint64]*Request
+	retries  joinedRetries
 	activity *activity
 }
 
 func newOpenRequests(activity *activity) openRequests {
-	return openRequests{byID: map[uint64]*Request{}, activity: activity}
+	return openRequests{byID: map[uint64]*Request{}, retries: newJoinedRetries(), activity: activity}
 }
 
 // get returns a request, or nil if it is unknown.
@@ -26,18 +27,29 @@
 	r.activity.arrived++
 }
 
-// coalesce makes a retry wait for the reply to the request that it repeats, the leader.
-func (r *openRequests) coalesce(leaderID uint64, retry *Request) {
-	leader := r.byID[leaderID]
-	if leader == nil || leader.answered {
-		retry.replies <- Reply{Rejected: true} // no attempt was made for the retry, so the client may repeat it
-		return
+// coalesce makes a retry wait for the reply to the request that it repeats, the leader. It rejects the retry and returns false if the leader is
+// already answered.
+func (r *openRequests) coalesce(retry *JoinedRetry) bool {
+	leader := r.byID[retry.LeaderID]
+	if leader == nil || !leader.canBeJoined() {
+		retry.Request.Deliver(Reply{Rejected: true}) // no attempt was made for the retry, so the client may repeat it
+		if retry.Request.OnDone != nil {
+			retry.Request.OnDone()
+		}
+		return false
 	}
-	leader.coalesced = append(leader.coalesced, retry.replies)
+	r.retries.add(retry, leader)
+	return true
 }
 
-// cancel ends a request whose client has gone. It returns false if the request is unknown or already answered.
+// cancel ends a request or a joined retry whose client has gone. It returns true for an open request, which the policy has to forget, and false
+// for a joined retry and if the request is unknown or already answered. An attempt in flight goes on: retries that have joined the request
+// wait for its response.
 func (r *openRequests) cancel(id uint64) bool {
+	if r.retries.isJoined(id) {
+		r.retries.cancel(id)
+		return false
+	}
 	request := r.byID[id]
 	if request == nil || request.answered {
 		return false
@@ -62,11 +74,13 @@
 		r.activity.failed++
 	}
 	request.Deliver(reply)
+	r.retries.reply(request, reply)
 	r.finish(id, request)
 }
 
 // finishAttempt records the result of an attempt and reports whether its request needs no further attempt. The first successful response
-// goes to the client. So does a client error, because no other endpoint would accept the request.
+// goes to the client and to the retries that have joined the request. So does a client error, because no other endpoint would accept the
+// request.
 func (r *openRequests) finishAttempt(finished upstream.AttemptFinished) (requestDone bool) {
 	request := r.byID[finished.RequestID]
 	if request == nil {
@@ -82,11 +96,15 @@
 		r.activity.succeeded++
 		request.Deliver(Reply{Response: finished.Response})
 	}
+	if isFinal {
+		r.retries.reply(request, Reply{Response: finished.Response})
+	}
 	r.finish(finished.RequestID, request)
 	return true
 }
 
-// finish marks a request as answered and removes it once none of its attempts is in flight.
+// finish marks a request as answered and removes it once none of its attempts is in flight. It then returns the retries that still wait, after
+// the request's OnDone: the client has gone, and its last attempt has brought no response.
 func (r *openRequests) finish(id uint64, request *Request) {
 	request.answered = true
 	if request.inFlight > 0 {
@@ -96,4 +114,5 @@
 	if request.OnDone != nil {
 		request.OnDone()
 	}
+	r.retries.returnAll(request)
 }
--- a/internal/agent/open_requests_test.go
+++ b/internal/agent/open_requests_test.go
@@ -103,7 +103,7 @@
 	requests := newOpenRequests(&activity{})
 	leader := addTestRequest(&requests)
 	retry := NewRequest(nil, time.Now(), nil)
-	requests.coalesce(testRequestID, retry)
+	requests.coalesce(&JoinedRetry{ID: 2, LeaderID: testRequestID, Request: retry})
 	requests.reply(testRequestID, Reply{})
 	wantReply(t, "the request", leader.Request, false, admission.Failed)
 	select {
@@ -115,7 +115,7 @@
 		t.Error("got no reply to the retry")
 	}
 	late := NewRequest(nil, time.Now(), nil)
-	requests.coalesce(testRequestID, late)
+	requests.coalesce(&JoinedRetry{ID: 3, LeaderID: testRequestID, Request: late})
 	if reply := <-late.Replies(); !reply.Rejected {
 		t.Errorf("got reply %+v to a retry of an answered request, want a rejection", reply)
 	}
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -26,13 +26,13 @@
 	OnDone         func() // called once the request is answered and has no attempt in flight; nil: not called
 	OnFirstAttempt func() // called before the first attempt is sent; nil: not called
 
-	replies   chan Reply   // buffers the one final reply
-	coalesced []chan Reply // channels of the coalesced retries, which get the same reply
-	answered  bool         // the final reply is given, or the client has gone
-	result    admission.Result
-	inFlight  int                // attempts that have not ended
-	attempts  int                // attempts that were sent
-	endpoint  *upstream.Endpoint // endpoint of the latest attempt
+	replies  chan Reply     // buffers the one final reply
+	retries  []*JoinedRetry // the retries that wait for the reply as well
+	answered bool           // the final reply is given, or the client has gone
+	result   admission.Result
+	inFlight int                // attempts that have not ended
+	attempts int                // attempts that were sent
+	endpoint *upstream.Endpoint // endpoint of the latest attempt
 }
 
 // NewRequest creates a request that has to be answered by deadline. onDone is called once the request is answered and none of its attempts
@@ -47,13 +47,13 @@
 // Result returns how an answered request ended. OnDone may call it.
 func (r *Request) Result() admission.Result { return r.result }
 
-// Deliver gives the final reply to the client and to its coalesced retries. Only the goroutine that owns the request may call it, once.
-func (r *Request) Deliver(reply Reply) {
-	r.replies <- reply
-	for _, replies := range r.coalesced {
-		replies <- reply
-	}
-	r.coalesced = nil
+// Deliver gives the final reply to the client. Only the goroutine that owns the request may call it, once.
+func (r *Request) Deliver(reply Reply) { r.replies <- reply }
+
+// canBeJoined reports whether a retry may wait for the reply to this request: it is not answered yet, or its client has gone while an attempt
+// is in flight, whose response nobody else waits for.
+func (r *Request) canBeJoined() bool {
+	return !r.answered || r.result == admission.ClientGone && r.inFlight > 0
 }
 
 // canAttempt reports whether an attempt may be sent: the request has no answer, and no other attempt of it is in flight.
--- a/internal/proxy/admission_loop.go
+++ b/internal/proxy/admission_loop.go
@@ -29,6 +29,8 @@
 	mailbox    *mailbox.Mailbox[admissionMessage]
 	waiting    map[uint64]requestArrival // by request id; not admitted yet
 	inProgress map[uint64]bool           // by request id; admitted and not finished
+	coalesced  map[uint64]bool           // by request id; waiting for the reply to another request
+	returned   uint64                    // coalesced retries that the event loop has returned
 	lastLogged AdmissionStatus
 }
 
@@ -41,6 +43,7 @@
 		mailbox:    mailbox.New[admissionMessage](),
 		waiting:    map[uint64]requestArrival{},
 		inProgress: map[uint64]bool{},
+		coalesced:  map[uint64]bool{},
 	}
 }
 
@@ -83,13 +86,16 @@
 	now := l.clock.Now()
 	switch m := message.(type) {
 	case requestArrival:
-		l.waiting[m.arrival.ID] = m
-		l.execute(l.controller.Arrive(now, m.arrival))
+		l.arrive(now, m)
 	case attemptSent:
 		l.execute(l.controller.AttemptSent(now, m.id))
 	case requestFinished:
 		delete(l.inProgress, m.id)
 		l.execute(l.controller.Finish(now, m.id, m.result))
+	case retryAnswered:
+		delete(l.coalesced, m.id)
+	case retryReturned:
+		l.takeBack(now, m.retry)
 	case requestCancelled:
 		l.cancel(now, m.id)
 	case drainStarted:
@@ -104,10 +110,17 @@
 	}
 }
 
+// arrive asks the controller to admit a request.
+func (l *AdmissionLoop) arrive(now policy.Micros, request requestArrival) {
+	l.waiting[request.arrival.ID] = request
+	l.execute(l.controller.Arrive(now, request.arrival))
+}
+
 // cancel cancels a request. An admitted request is cancelled by the event loop, which reports the request as finished once none of its
-// attempts is in flight.
+// attempts is in flight. A coalesced retry is cancelled by the event loop, too, unless the event loop is returning it.
 func (l *AdmissionLoop) cancel(now policy.Micros, id uint64) {
-	if l.inProgress[id] {
+	if l.inProgress[id] || l.coalesced[id] {
+		delete(l.coalesced, id)
 		l.loop.Enqueue(policy.RequestCancelled{RequestID: id})
 		return
 	}
@@ -126,9 +139,7 @@
 				rejected.request.Deliver(agent.Reply{Rejected: true, RetryAfter: command.RetryAfter})
 			}
 		case admission.Coalesce:
-			if retry, ok := l.remove(command.ID); ok {
-				l.loop.Coalesce(command.LeaderID, retry.request)
-			}
+			l.coalesce(command.LeaderID, command.ID)
 		}
 	}
 }
@@ -149,6 +160,38 @@
 	l.loop.Admit(admitted.event, request)
 }
 
+// coalesce hands a retry to the event loop, which answers it with the reply to its leader or returns it.
+func (l *AdmissionLoop) coalesce(leaderID, id uint64) {
+	retry := l.waiting[id]
+	delete(l.waiting, id)
+	l.coalesced[id] = true
+	request, onDone := retry.request, retry.request.OnDone
+	request.OnDone = func() {
+		if onDone != nil {
+			onDone()
+		}
+		l.mailbox.Put(retryAnswered{id})
+	}
+	l.loop.Coalesce(&agent.JoinedRetry{ID: id, LeaderID: leaderID, Request: request, Return: func() {
+		request.OnDone = onDone
+		l.mailbox.Put(retryReturned{retry})
+	}})
+}
+
+// takeBack asks the controller to admit a retry that the event loop has returned, as a request of its own. It ends the retry if its client
+// has gone meanwhile.
+func (l *AdmissionLoop) takeBack(now policy.Micros, retry requestArrival) {
+	if l.coalesced[retry.arrival.ID] {
+		delete(l.coalesced, retry.arrival.ID)
+		l.returned++
+		l.arrive(now, retry)
+		return
+	}
+	if retry.request.OnDone != nil {
+		retry.request.OnDone()
+	}
+}
+
 // remove removes a waiting request, calls its OnDone callback, and reports whether it was waiting.
 func (l *AdmissionLoop) remove(id uint64) (removed requestArrival, ok bool) {
 	removed, ok = l.waiting[id]
--- a/internal/proxy/admission_loop_test.go
+++ b/internal/proxy/admission_loop_test.go
@@ -117,6 +117,39 @@
 	}
 }
 
+// A retry that has joined its first attempt is answered though the client of the first attempt has left: it is admitted by itself if no
+// attempt is in flight. If its own client leaves, it is not admitted.
+func TestJoinedRetryIsAnsweredWithoutItsFirstClient(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		rig := newTestAdmission(t, admission.Limits{Requests: 10, Bytes: 1 << 20, Queues: 4}, true)
+		first := rig.arrive(1, 5)
+		agenttest.Eventually(t, "the first request", func() bool { return rig.admitted() == 1 })
+		second := rig.arrive(2, 5)
+		rig.Respond(func(event policy.Event) []policy.Command {
+			if arrived, ok := event.(policy.RequestArrived); ok {
+				return []policy.Command{policy.Reject{RequestID: arrived.ID}}
+			}
+			return nil
+		})
+		if status := rig.status(); status.Joined != 1 {
+			t.Fatalf("got status %+v after the retry, want one joined retry", status)
+		}
+		if leaves {
+			rig.loop.mailbox.Put(requestCancelled{2})
+		}
+		rig.loop.mailbox.Put(requestCancelled{1})
+		agenttest.Eventually(t, "an empty admission loop", func() bool { status := rig.status(); return status.InProgress+status.Waiting+status.Joined == 0 })
+		wantReplies, wantAdmitted := 1, 2
+		if leaves {
+			wantReplies, wantAdmitted = 0, 1
+		}
+		if len(second) != wantReplies || len(first) != 0 || rig.admitted() != wantAdmitted {
+			t.Errorf("client of the retry leaves %t: got %d replies to the retry, %d to the first attempt and %d requests admitted, want %d, 0 and %d",
+				leaves, len(second), len(first), rig.admitted(), wantReplies, wantAdmitted)
+		}
+	}
+}
+
 // A queued request whose client disconnects is removed. A drain rejects all requests that can't be admitted before its deadline.
 func TestCancelAndDrain(t *testing.T) {
 	rig := newTestAdmission(t, admission.Limits{Requests: 40, Bytes: 1 << 20, Queues: 4}, false)
--- a/internal/proxy/admission_messages.go
+++ b/internal/proxy/admission_messages.go
@@ -27,6 +27,12 @@
 	result admission.Result
 }
 
+// retryAnswered reports that a coalesced retry has its reply or was cancelled.
+type retryAnswered struct{ id uint64 }
+
+// retryReturned is a coalesced retry that the event loop returns, because the request that it repeats has ended without a reply.
+type retryReturned struct{ retry requestArrival }
+
 // requestCancelled reports that the reply to a request is no longer needed: the client disconnected, or the drain has run out of time.
 type requestCancelled struct{ id uint64 }
 
@@ -45,6 +51,8 @@
 func (requestArrival) isAdmissionMessage()   {}
 func (attemptSent) isAdmissionMessage()      {}
 func (requestFinished) isAdmissionMessage()  {}
+func (retryAnswered) isAdmissionMessage()    {}
+func (retryReturned) isAdmissionMessage()    {}
 func (requestCancelled) isAdmissionMessage() {}
 func (drainStarted) isAdmissionMessage()     {}
 func (weightsUpdate) isAdmissionMessage()    {}
--- a/internal/proxy/admission_summary.go
+++ b/internal/proxy/admission_summary.go
@@ -10,11 +10,13 @@
 type AdmissionStatus struct {
 	admission.Status
 	admission.Counters
+	Joined   int    // coalesced retries that wait for the reply to another request
+	Returned uint64 // coalesced retries whose leader ended without a reply, which arrived anew
 }
 
 // status returns the controller's state and counters. Only the goroutine that runs Serve may call it.
 func (l *AdmissionLoop) status() AdmissionStatus {
-	return AdmissionStatus{l.controller.Status(), l.controller.Counters}
+	return AdmissionStatus{l.controller.Status(), l.controller.Counters, len(l.coalesced), l.returned}
 }
 
 // logSummary logs a summary if requests have arrived since the last summary or are waiting.
@@ -37,6 +39,7 @@
 		"admitted", now.Admitted-last.Admitted,
 		"rejoined", now.Rejoined-last.Rejoined,
 		"coalesced", now.Coalesced-last.Coalesced,
+		"returned", now.Returned-last.Returned,
 		"rejected_too_late", now.Rejected[admission.TooLate]-last.Rejected[admission.TooLate],
 		"rejected_no_capacity", now.Rejected[admission.NoCapacity]-last.Rejected[admission.NoCapacity],
 		"reserved", now.Reserved-last.Reserved,
