proxy: fail and count a request that the event loop leaves without a reply

Change: 0.3 s after its deadline a request without a reply is answered with 504, cancelled, logged and counted. The protocol counts an answer as lost after 0.5 s. If the whole process has stood still, the 0.3 s begin when the deadline is noticed, so that the loop has the same time to reply as ever. Each fault scenario, each soak and each end-to-end test fails if an agent's log has the line, so the guard hides no fault.

--- a/internal/endtoend/running_agent_test.go
+++ b/internal/endtoend/running_agent_test.go
@@ -13,6 +13,7 @@
 
 	"switchfork/internal/agenttest"
 	"switchfork/internal/fakes"
+	"switchfork/internal/proxy"
 )
 
 // runningAgent is a running process of the program, with the fake discovery service and rollout controller that it calls.
@@ -72,6 +73,9 @@
 	go func() { a.exited <- a.command.Wait() }()
 	t.Cleanup(func() {
 		_ = a.command.Process.Kill() // fails if the process has exited
+		if strings.Contains(a.log.String(), proxy.NoReplyMessage) {
+			t.Error("the event loop has left a request without a reply")
+		}
 		if t.Failed() {
 			t.Log(a.log)
 		}
--- a/internal/faulttest/verdict.go
+++ b/internal/faulttest/verdict.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"switchfork/internal/proxy"
 )
 
 // LineResult is the result of checking one line of a scenario.
@@ -74,6 +76,11 @@
 	if n := r.clients.records.droppedRequests.Load(); n > 0 {
 		v.addError(fmt.Sprintf("%s: the clients had no free connection for %d requests: the load exceeds what they can send", r.scenario.File, n))
 	}
+	for _, a := range r.agents.all {
+		if n := strings.Count(a.log.String(), proxy.NoReplyMessage); n > 0 {
+			v.addError(fmt.Sprintf("%s: the event loop of agent %d has left %d requests without a reply", r.scenario.File, a.number, n))
+		}
+	}
 	for _, violation := range CheckRules(records) {
 		v.Violations = append(v.Violations, violation.String())
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -44,6 +44,7 @@
 	lastRequestID   atomic.Uint64
 	openRequests    atomic.Int64
 	pipelined       atomic.Int64 // requests that arrived before the response to the previous one was written
+	unanswered      atomic.Int64 // requests that the event loop has not answered in time
 	requestIDs      *requestIDSet
 	maxOpenRequests int
 	maxRetryAfter   policy.Micros
--- a/internal/proxy/round_trip.go
+++ b/internal/proxy/round_trip.go
@@ -34,16 +34,11 @@
 	request := p.newRequest(r, received, receivedAt, func() { p.requestIDs.release(requestID) })
 	cancel := p.forward(r, received, request, receivedAt)
 	defer limitWriteTime(r, request)
-	select {
-	case reply := <-request.Replies():
-		return replyResponse(reply, r), nil
-	case <-r.Context().Done():
-		cancel()
-		return nil, r.Context().Err()
-	case <-p.drainExpired:
-		cancel()
-		return replyResponse(agent.Reply{}, r), nil
+	reply, err := p.awaitReply(r, request, cancel)
+	if err != nil {
+		return nil, err
 	}
+	return replyResponse(reply, r), nil
 }
 
 // exceedsOpenRequests reports whether there are too many open requests. It returns false if there is an admission loop, which has a
