election: count a vote's time from an answer of the rollout controller

Cause: a vote counted as over a fixed time after the successor's start, and the model test and the simulation clamped every delay to that time. Nothing bounds how late a controller that stands still carries a written vote out.

Change: the time counts from the first answer of the controller to a call that began after the vote was written. A leader without such an answer probes the controller three times a lease (a stream that is closed at once); a replica without stored state abstains until it has one. A vote of a leader that has left may still be being written, so its successor's call begins after that call's timeout. This works as no vote is taken for over by the clock alone.

--- a/cmd/switchfork-lab/election.go
+++ b/cmd/switchfork-lab/election.go
@@ -23,6 +23,7 @@
 	"wait":    {WaitForEarlierVotes: true},
 	"prevote": {PromiseAfterLease: true},
 	"begin":   {LeaseFromStart: true},
+	"answer":  {ControllerAnswer: true},
 }
 
 const (
--- a/cmd/switchfork/coordinator.go
+++ b/cmd/switchfork/coordinator.go
@@ -169,7 +169,8 @@
 // controller.
 func coordinatorCallbacks(loop *agent.Loop, rolloutClient *rollout.Client) coordinator.Callbacks {
 	return coordinator.Callbacks{
-		UpdateRollout: loop.UpdateRollout,
+		UpdateRollout:   loop.UpdateRollout,
+		ProbeController: rolloutClient.Probe,
 		CastVote: func(vote policy.Vote, writeBefore time.Time, resolved func(written bool)) {
 			rolloutClient.VoteBefore(rollout.TimedVote{Vote: vote, WriteBefore: writeBefore, Resolved: resolved})
 		},
--- a/internal/cluster/coordinator/commands.go
+++ b/internal/cluster/coordinator/commands.go
@@ -26,6 +26,8 @@
 			if isStored && !c.state.hasFailed {
 				c.cast(command)
 			}
+		case election.ProbeController:
+			c.probeController()
 		case election.SelfStop: // affects this agent alone, so it does not depend on stored state
 			c.trafficStop.execute(command)
 		}
@@ -65,3 +67,10 @@
 		c.mailbox.Put(voteResolved{record})
 	})
 }
+
+// probeController makes a call to the rollout controller, and puts a controllerAnswered message into the mailbox if it is answered.
+func (c *Coordinator) probeController() {
+	begunAt := c.clock.now()
+	c.metrics.controllerProbes.Inc()
+	c.probe(func() { c.mailbox.Put(controllerAnswered{begunAt}) })
+}
--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -33,6 +33,8 @@
 	// CastVote sends a vote to the rollout controller, unless the vote can't be written before the time writeBefore. It calls resolved once
 	// it is known that the vote was carried out, or that it never will be. written reports whether the vote was sent at all.
 	CastVote func(vote policy.Vote, writeBefore time.Time, resolved func(written bool))
+	// ProbeController makes a call to the rollout controller that changes nothing. It calls answered if the controller answers.
+	ProbeController func(answered func())
 	// UpdateRollout gives the routing policy the state of a rollout.
 	UpdateRollout func(policy.RolloutUpdate)
 }
@@ -56,6 +58,7 @@
 	index     int
 	transport Transport
 	castVote  func(vote policy.Vote, writeBefore time.Time, resolved func(written bool))
+	probe     func(answered func())
 	clock     clock
 	mailbox   *mailbox.Mailbox[message] // messages from other parts of this agent; unbounded: the senders must not wait, and send few messages
 	frames    chan []byte               // frames received from other agents
@@ -80,6 +83,7 @@
 		index:     config.Index,
 		transport: transport,
 		castVote:  callbacks.CastVote,
+		probe:     callbacks.ProbeController,
 		clock:     replicaClock,
 		mailbox:   mailbox.New[message](),
 		frames:    make(chan []byte, frameQueueCapacity),
--- a/internal/cluster/coordinator/messages.go
+++ b/internal/cluster/coordinator/messages.go
@@ -29,6 +29,9 @@
 	// voteResolved reports that a vote was carried out, or never will be.
 	voteResolved struct{ record election.Record }
 
+	// controllerAnswered reports that the rollout controller has answered a call that began at begunAt.
+	controllerAnswered struct{ begunAt election.Micros }
+
 	// leaveRequest asks this agent to hand over its lease. done is closed when the handover has been sent.
 	leaveRequest struct{ done chan<- struct{} }
 
@@ -62,6 +65,10 @@
 	c.execute(c.replica.ResolveVote(c.clock.now(), m.record))
 }
 
+func (m controllerAnswered) handle(c *Coordinator) {
+	c.execute(c.replica.ControllerAnswered(c.clock.now(), m.begunAt))
+}
+
 func (m leaveRequest) handle(c *Coordinator) {
 	c.leadership.hasLeft = true
 	c.execute(c.replica.Leave(c.clock.now()))
--- a/internal/cluster/coordinator/metrics.go
+++ b/internal/cluster/coordinator/metrics.go
@@ -18,12 +18,13 @@
 // replicaMetrics holds the metrics that the admin address exports. They may be read and changed from any goroutine.
 type replicaMetrics struct {
 	set      *metrics.Set
-	counters []namedCounter // all counters below
+	counters []namedCounter // the counters below that have an earlier name
 
 	electionsWon     *metrics.Counter // terms in which this agent has led
 	handOvers        *metrics.Counter // leases handed over when the agent shut down
 	votesCast        *metrics.Counter
 	votesRefused     *metrics.Counter // votes not written, because it was too late or the controller could not be reached
+	controllerProbes *metrics.Counter // calls to the rollout controller that ask only whether it answers
 	messagesReceived *metrics.Counter
 	messagesSent     *metrics.Counter
 	messagesDropped  *metrics.Counter // messages received but not used
@@ -44,6 +45,7 @@
 	m.handOvers = m.newCounter("hand_overs_total")
 	m.votesCast = m.newCounter("casts_total")
 	m.votesRefused = m.newCounter("casts_refused_total")
+	m.controllerProbes = m.set.NewCounter(metricsPrefix + "controller_probes_total") // has no earlier name
 	m.messagesReceived = m.newCounter("messages_in_total")
 	m.messagesSent = m.newCounter("messages_out_total")
 	m.messagesDropped = m.newCounter("messages_dropped_total")
--- a/internal/cluster/coordinator/metrics_test.go
+++ b/internal/cluster/coordinator/metrics_test.go
@@ -5,8 +5,8 @@
 	"testing"
 )
 
-// Every metric is exported under its name and, for older dashboards, under its earlier name with the same value. The HELP line of the
-// earlier name calls it deprecated.
+// Every metric is exported under its name and, for older dashboards, under its earlier name with the same value if it has one. The HELP line of
+// the earlier name calls it deprecated.
 func TestDeprecatedMetricNames(t *testing.T) {
 	m := newReplicaMetrics()
 	m.votesCast.Add(3)
@@ -40,7 +40,13 @@
 			}
 		}
 	}
-	if got, want := strings.Count(out.String(), "\nswitchfork_")+1, 2*len(metrics); got != want {
+	newMetrics := []string{"switchfork_election_controller_probes_total 0"}
+	for _, want := range newMetrics {
+		if count[want] != 1 {
+			t.Errorf("got %d lines %q, want 1", count[want], want)
+		}
+	}
+	if got, want := strings.Count(out.String(), "\nswitchfork_")+1, 2*len(metrics)+len(newMetrics); got != want {
 		t.Errorf("got %d metrics, want %d:\n%s", got, want, out.String())
 	}
 }
--- a/internal/cluster/election/acceptor.go
+++ b/internal/cluster/election/acceptor.go
@@ -10,10 +10,12 @@
 
 	highestPromised uint64
 	highestAccepted uint64
-	highestReleased uint64 // leases of ballots up to this one were released by their holders
-	leaseHolder     int    // the replica whose lease was accepted; noReplica: none
-	leaseUntil      Micros // end of the accepted lease, by this replica's clock
-	abstainUntil    Micros // nothing is promised or accepted before this time
+	highestReleased uint64    // leases of ballots up to this one were released by their holders
+	leaseHolder     int       // the replica whose lease was accepted; noReplica: none
+	leaseUntil      Micros    // end of the accepted lease, by this replica's clock
+	isWithdrawn     bool      // nothing is promised or accepted any more
+	hasLostState    bool      // nothing is promised or accepted until the votes in lostVotes can no longer count
+	lostVotes       voteDoubt // votes whose records this replica may have acknowledged and lost
 }
 
 func newAcceptor(config Config) acceptor {
@@ -36,10 +38,39 @@
 	}
 }
 
-// abstain makes the acceptor promise and accept nothing while the time is before until.
-func (a *acceptor) abstain(until Micros) { a.abstainUntil = until }
+// withdraw makes the acceptor promise and accept nothing from now on.
+func (a *acceptor) withdraw() { a.isWithdrawn = true }
 
-func (a *acceptor) isAbstaining(now Micros) bool { return now < a.abstainUntil }
+// loseState makes the acceptor abstain: it promises and accepts nothing until all votes can no longer count whose records it may have
+// acknowledged before it lost its state. A leader whose lease it has accepted may write votes for one more lease.
+func (a *acceptor) loseState(now Micros) {
+	leaseEnd := now + a.settings.driftUpperBound(a.settings.Lease)
+	a.hasLostState = true
+	a.lostVotes = newVoteDoubt(a.disabled, leaseEnd, leaseEnd)
+}
+
+func (a *acceptor) isAbstaining(now Micros) bool {
+	return a.isWithdrawn || a.hasLostState && now < a.lostVotes.countsUntil(a.settings)
+}
+
+// observeAnswer records that the rollout controller has answered a call that began at begunAt.
+func (a *acceptor) observeAnswer(now, begunAt Micros) { a.lostVotes.observe(now, begunAt) }
+
+// needsAnswer reports whether the acceptor abstains and needs an answer of the rollout controller to a call that begins now.
+func (a *acceptor) needsAnswer(now Micros) bool {
+	return a.hasLostState && !a.isWithdrawn && a.lostVotes.needsAnswer(now)
+}
+
+// abstainsAtLeastFor returns how much longer the acceptor abstains at least.
+func (a *acceptor) abstainsAtLeastFor(now Micros) Micros {
+	switch {
+	case a.isWithdrawn:
+		return forever
+	case a.hasLostState:
+		return a.lostVotes.countsAtLeastFor(now, a.settings)
+	}
+	return 0
+}
 
 // isLeaseInForce reports whether the accepted lease has not ended yet, no matter which replica holds it.
 func (a *acceptor) isLeaseInForce(now Micros) bool { return now < a.leaseUntil }
--- a/internal/cluster/election/acceptor_test.go
+++ b/internal/cluster/election/acceptor_test.go
@@ -79,12 +79,20 @@
 	}
 }
 
-// An acceptor that abstains promises, accepts, acknowledges and releases nothing.
+// An acceptor that has lost its state promises, accepts, acknowledges and releases nothing. It takes part again once the rollout controller has
+// answered a call that began after all leases that it may have accepted, and the votes cast under them no longer count.
 func TestAcceptorAbstains(t *testing.T) {
 	a := newTestAcceptor()
-	a.abstain(2 * second)
+	a.loseState(second)
 	ballot := ballotOf(1, firstCandidate)
-	now := 2*second - 1
+	leaseEnd := second + testSettings().driftUpperBound(testSettings().Lease)
+	answeredAt := leaseEnd + 100*second
+	a.observeAnswer(answeredAt, leaseEnd-1)
+	if !a.isAbstaining(answeredAt+testSettings().effectWindow()) || a.needsAnswer(leaseEnd-1) || !a.needsAnswer(leaseEnd) {
+		t.Errorf("the acceptor does not wait for the answer to a call that begins after the last lease: %+v", a)
+	}
+	a.observeAnswer(answeredAt, leaseEnd)
+	now := answeredAt + testSettings().effectWindow() - 1
 	if a.promise(now, firstCandidate, ballot, 0) || a.accept(now, firstCandidate, ballot) || a.acknowledgesRecord(now, ballot) ||
 		a.acknowledgesMembers(now, ballot) || a.releaseLease(now, noReplica, ballot) {
 		t.Errorf("the acceptor takes part while it abstains: %+v", a)
--- a/internal/cluster/election/cluster_test.go
+++ b/internal/cluster/election/cluster_test.go
@@ -25,12 +25,14 @@
 	electionDone = 3 * second
 )
 
-// cluster is a group of three replicas. Messages are delivered at once unless the sender or the receiver is partitioned. Votes are
-// resolved at once.
+// cluster is a group of three replicas. Messages are delivered at once unless the sender or the receiver is partitioned. Votes and probes are
+// answered at once unless the rollout controller is stalled.
 type cluster struct {
 	replicas      []*Replica
+	isStalled     bool // the rollout controller answers nothing
 	isPartitioned map[int]bool
 	votes         map[int][]CastVote // votes cast by each replica
+	probes        int                // calls to the rollout controller that change nothing
 	now           Micros
 }
 
@@ -64,7 +66,14 @@
 			}
 		case CastVote:
 			c.votes[from] = append(c.votes[from], command)
-			c.execute(from, c.replicas[from].ResolveVote(c.now, command.Record))
+			if !c.isStalled {
+				c.execute(from, c.replicas[from].ResolveVote(c.now, command.Record))
+			}
+		case ProbeController:
+			c.probes++
+			if !c.isStalled {
+				c.execute(from, c.replicas[from].ControllerAnswered(c.now, c.now))
+			}
 		}
 	}
 }
@@ -143,6 +152,67 @@
 	}
 }
 
+// A leader's vote may be carried out whenever a rollout controller that stands still goes on. The next leader casts no contrary vote before the
+// controller has answered it and the first vote can no longer count, however long that takes. It asks the controller again and again.
+func TestContraryVoteWaitsForController(t *testing.T) {
+	c := newCluster(false)
+	c.runUntil(electionDone)
+	oldLeader := c.leader()
+	c.isStalled = true
+	c.recommend(oldLeader, Advance)
+	c.execute(oldLeader, c.replicas[oldLeader].Leave(c.now))
+	newLeader := c.leader()
+	runRecommending := func(end Micros) {
+		for c.now < end && len(c.votes[newLeader]) == 0 {
+			c.recommend(newLeader, Rollback)
+			c.runUntil(c.now + 100*ms)
+		}
+	}
+	runRecommending(60 * second)
+	if len(c.votes[oldLeader]) != 1 || len(c.votes[newLeader]) != 0 || c.leader() != newLeader {
+		t.Fatalf("cast %+v while the controller stood still, want the one vote of the first leader", c.votes)
+	}
+	leases := int(c.now / testSettings().Lease)
+	if c.probes < leases || c.probes > 4*leases {
+		t.Errorf("got %d probes in %d leases, want about three a lease", c.probes, leases)
+	}
+	c.isStalled = false
+	goesOnAt := c.now
+	runRecommending(c.now + 10*second)
+	if len(c.votes[newLeader]) != 1 || c.votes[newLeader][0].Verdict != Rollback {
+		t.Fatalf("cast %+v after the controller went on, want a rollback of the second leader", c.votes)
+	}
+	waited := c.now - goesOnAt
+	if waited < testSettings().effectWindow() || waited > testSettings().effectWindow()+testSettings().Lease {
+		t.Errorf("the contrary vote was cast %d us after the controller went on, want %d and up to a lease more", waited, testSettings().effectWindow())
+	}
+	probes := c.probes
+	c.runUntil(c.now + 10*second)
+	if c.probes != probes {
+		t.Errorf("got %d more probes when no answer was needed", c.probes-probes)
+	}
+}
+
+// Replicas that have lost their state elect no leader while the rollout controller stands still: a vote of which they know nothing may be
+// carried out as soon as it goes on.
+func TestFreshReplicasWaitForController(t *testing.T) {
+	c := newCluster(true)
+	c.isStalled = true
+	c.runUntil(60 * second)
+	if leader := c.leader(); leader >= 0 || c.probes == 0 {
+		t.Errorf("got leader %d and %d probes while the controller stood still, want no leader and probes", leader, c.probes)
+	}
+	c.isStalled = false
+	c.runUntil(c.now + testSettings().effectWindow())
+	if leader := c.leader(); leader >= 0 {
+		t.Errorf("replica %d leads before unknown votes can no longer count", leader)
+	}
+	c.runUntil(c.now + 3*second)
+	if c.leader() < 0 {
+		t.Error("no leader was elected after the replicas had stopped abstaining")
+	}
+}
+
 // After a restart without durable state, a replica abstains until all leases that it may have accepted have ended, and the votes
 // cast under them can no longer count.
 func TestFreshReplicasAbstain(t *testing.T) {
--- a/internal/cluster/election/command.go
+++ b/internal/cluster/election/command.go
@@ -1,6 +1,6 @@
 package election
 
-// Command is one of [SendMessage], [CastVote], [Persist] and [SelfStop]. The commands of a call must be carried out in order.
+// Command is one of [SendMessage], [CastVote], [Persist], [SelfStop] and [ProbeController]. The commands of a call must be carried out in order.
 // Other packages can't define further commands.
 type Command interface{ isCommand() }
 
@@ -26,9 +26,14 @@
 		Decision
 		Stop bool
 	}
+	// ProbeController makes a call to the rollout controller that changes nothing. If the controller answers, the replica is told by
+	// ControllerAnswered.
+	ProbeController struct{}
 )
 
 func (SendMessage) isCommand() {}
 func (CastVote) isCommand()    {}
 func (Persist) isCommand()     {}
 func (SelfStop) isCommand()    {}
+
+func (ProbeController) isCommand() {}
--- a/internal/cluster/election/golden_test.go
+++ b/internal/cluster/election/golden_test.go
@@ -35,7 +35,7 @@
 func newFaultScenario(number, initialMembers int, disabled DisabledGuards) *faultScenario {
 	s := &faultScenario{
 		random:         rand.New(rand.NewSource(int64(number + 1))),
-		digest:         golden.NewDigest(SendMessage{}, CastVote{}, Persist{}, SelfStop{}, Status{}, Micros(0), 0, ""),
+		digest:         golden.NewDigest(SendMessage{}, CastVote{}, Persist{}, SelfStop{}, Status{}, Micros(0), 0, "", ProbeController{}),
 		initialMembers: initialMembers,
 		disabled:       disabled,
 		replicas:       make([]*Replica, initialMembers+1),
@@ -82,6 +82,10 @@
 			if s.random.Intn(3) > 0 {
 				s.execute(i, s.replicas[i].ResolveVote(s.now, command.Record))
 			}
+		case ProbeController:
+			if s.random.Intn(3) > 0 {
+				s.execute(i, s.replicas[i].ControllerAnswered(s.now, s.now))
+			}
 		}
 	}
 }
@@ -179,14 +183,15 @@
 // names were changed.
 func TestGoldenDecisions(t *testing.T) {
 	scenarios := []DisabledGuards{
+		{ControllerAnswer: true},
+		{ControllerAnswer: true},
+		{ControllerAnswer: true},
+		{ControllerAnswer: true, LeaseTimeout: true},
+		{ControllerAnswer: true, QuorumBeforeCast: true},
+		{ControllerAnswer: true, WaitForEarlierVotes: true},
+		{ControllerAnswer: true, PromiseAfterLease: true},
+		{ControllerAnswer: true, LeaseFromStart: true},
 		{},
-		{},
-		{},
-		{LeaseTimeout: true},
-		{QuorumBeforeCast: true},
-		{WaitForEarlierVotes: true},
-		{PromiseAfterLease: true},
-		{LeaseFromStart: true},
 	}
 	var out strings.Builder
 	for _, members := range []int{1, 3, 5} {
--- a/internal/cluster/election/handlers.go
+++ b/internal/cluster/election/handlers.go
@@ -136,7 +136,8 @@
 		// since then.
 		e.lease.startTerm(e.candidate.ballot)
 		e.membership.startTerm()
-		e.votes.startTerm(e.now)
+		// A leader whose lease has ended writes nothing. One that has left may still be writing its last vote.
+		e.votes.startTerm(e.now, max(e.now, e.lastVoteWrittenBy))
 	}
 	e.lease.grant(e.candidate.leaseEnd(), e.candidate.members)
 }
@@ -164,6 +165,7 @@
 	if !e.acceptor.releaseLease(e.now, from, m.Ballot) {
 		return
 	}
+	e.lastVoteWrittenBy = e.now + e.settings.effectDelay()
 	successorBallot := m.successorBallot()
 	switch successor := ballotOwner(successorBallot); {
 	case successorBallot <= e.acceptor.highestPromised:
--- a/internal/cluster/election/leader_election.go
+++ b/internal/cluster/election/leader_election.go
@@ -24,6 +24,8 @@
 	candidate  candidate
 	lease      lease
 	isLeaving  bool // this replica has given up the leadership permanently
+	// lastVoteWrittenBy is when the last leader that released its lease has written its last vote, or never will.
+	lastVoteWrittenBy Micros
 }
 
 func newLeaderElection(config Config, votes *voteCaster, out *outbox) leaderElection {
@@ -44,7 +46,7 @@
 		e.membership.adopt(config.State.Members)
 	}
 	if config.IsFresh && !config.DisabledGuards.LeaseTimeout {
-		e.acceptor.abstain(config.Now + config.Settings.stateLossWindow())
+		e.acceptor.loseState(config.Now)
 	}
 	e.campaigns.reset(config.Now)
 	return e
@@ -64,7 +66,7 @@
 func (e *leaderElection) withdraw() {
 	e.lease.release()
 	e.candidate.abandon()
-	e.acceptor.abstain(forever)
+	e.acceptor.withdraw()
 }
 
 // shouldCampaign reports whether this replica has to renew its lease now or, without a lease, may campaign for one.
--- a/internal/cluster/election/model_test.go
+++ b/internal/cluster/election/model_test.go
@@ -28,6 +28,9 @@
 	votes     []observedVote
 	lastSeed  int64
 
+	isStalled bool    // the rollout controller answers nothing and carries out nothing
+	probes    []probe // calls to the rollout controller that are not answered yet
+
 	quorumViolation string // describes a vote that was cast before a quorum knew its record; empty: none
 	memberChanges   int    // number of accepted changes of the members
 }
@@ -38,11 +41,25 @@
 	message  Message
 }
 
-// observedVote is a vote, the replica that cast it, and the time of the cast.
+// observedVote is a vote, the replica that cast it, and the time of the cast. The rollout controller may carry it out at any time until it
+// answers a call that began after the cast, and for MaxVoteDelay from then.
 type observedVote struct {
 	replica int
 	CastVote
-	at Micros
+	at         Micros
+	isBounded  bool   // the rollout controller has answered such a call
+	answeredAt Micros // when it did
+}
+
+// mayCount reports whether a vote may be in force at the time at, or come into force then.
+func (v *observedVote) mayCount(at Micros) bool {
+	return !v.isBounded || at < v.answeredAt+testSettings().MaxVoteDelay+testSettings().VoteLifetime
+}
+
+// probe is a call to the rollout controller that has begun.
+type probe struct {
+	replica int
+	begunAt Micros
 }
 
 func newModelCluster() *modelCluster {
@@ -88,6 +105,8 @@
 			}
 		case CastVote:
 			c.observeVote(i, command)
+		case ProbeController:
+			c.probes = append(c.probes, probe{i, c.now})
 		}
 	}
 }
@@ -98,7 +117,7 @@
 	if c.persisted[caster] == nil {
 		panic("a replica cast a vote before it persisted any state")
 	}
-	c.votes = append(c.votes, observedVote{caster, vote, c.now})
+	c.votes = append(c.votes, observedVote{replica: caster, CastVote: vote, at: c.now})
 	members := c.replicas[caster].election.membership.current
 	knownBy := 0
 	for i, replica := range c.replicas {
@@ -126,7 +145,7 @@
 	for _, earlier := range c.votes {
 		last := c.votes[len(c.votes)-1]
 		isContrary := earlier.replica != last.replica && earlier.isSameStage(last.Decision) && earlier.Verdict != last.Verdict
-		if isContrary && last.at < earlier.at+testSettings().MaxVoteDelay+testSettings().VoteLifetime {
+		if isContrary && earlier.mayCount(last.at) {
 			t.Fatalf("%+v was cast while the contrary vote %+v may still count", last, earlier)
 		}
 	}
@@ -141,6 +160,32 @@
 	}
 }
 
+// answerProbes has the rollout controller answer the open probes, unless it is stalled. Some answers are lost.
+func (c *modelCluster) answerProbes(t *rapid.T, mayLose bool) {
+	if c.isStalled {
+		return
+	}
+	open := c.probes
+	c.probes = nil
+	for _, p := range open {
+		c.boundVotes(p.begunAt)
+		isLost := mayLose && rapid.Bool().Draw(t, "lost")
+		if !c.isPaused[p.replica] && !isLost {
+			c.execute(p.replica, c.replicas[p.replica].ControllerAnswered(c.now, p.begunAt))
+		}
+	}
+}
+
+// boundVotes records that the rollout controller has answered a call that began at begunAt.
+func (c *modelCluster) boundVotes(begunAt Micros) {
+	for i := range c.votes {
+		vote := &c.votes[i]
+		if !vote.isBounded && vote.at <= begunAt {
+			vote.isBounded, vote.answeredAt = true, c.now
+		}
+	}
+}
+
 // runFor lets time pass without delivering messages.
 func (c *modelCluster) runFor(t *rapid.T, steps int) {
 	for range steps {
@@ -164,6 +209,8 @@
 			c.receive(next)
 			c.checkInvariants(t)
 		}
+		c.answerProbes(t, false)
+		c.checkInvariants(t)
 	}
 }
 
@@ -234,13 +281,16 @@
 		"resume":       func(t *rapid.T) { c.isPaused[anyReplica().Draw(t, "replica")] = false },
 		"restart":      func(t *rapid.T) { c.restart(anyReplica().Draw(t, "replica")) },
 		"changeMember": c.changeMember,
+		"stall":        func(*rapid.T) { c.isStalled = true },
+		"goOn":         func(*rapid.T) { c.isStalled = false },
+		"answer":       func(t *rapid.T) { c.answerProbes(t, true) },
 		"leave":        func(t *rapid.T) { c.leave(anyReplica().Draw(t, "replica")) },
 		"":             c.checkInvariants,
 	}
 }
 
-// The invariants hold when messages are lost, duplicated, delayed or reordered, and when replicas pause, restart from their durable
-// state, join or leave.
+// The invariants hold when messages are lost, duplicated, delayed or reordered, when replicas pause, restart from their durable state, join
+// or leave, and when the rollout controller stands still for any time.
 func TestClusterInvariants(t *testing.T) {
 	voteCount, changeCount := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/cluster/election/replica.go
+++ b/internal/cluster/election/replica.go
@@ -8,6 +8,7 @@
 	election      leaderElection
 	votes         voteCaster
 	selfStop      selfStop
+	probe         controllerProbe
 	lastPersisted DurableState
 }
 
@@ -47,7 +48,7 @@
 		HasUnresolvedVote: r.votes.hasUnresolvedVote(),
 		LeaseHolder:       noReplica,
 		Members:           r.election.membership.current,
-		AbstainsFor:       max(0, r.election.acceptor.abstainUntil-now),
+		AbstainsFor:       r.election.acceptor.abstainsAtLeastFor(now),
 	}
 	if s.IsLeader || r.election.acceptor.isLeaseInForce(now) {
 		s.LeaseHolder = r.election.acceptor.leaseHolder
@@ -85,7 +86,15 @@
 // ResolveVote records that the rollout controller has answered the vote of a record: the vote took effect, or never will.
 func (r *Replica) ResolveVote(now Micros, record Record) []Command {
 	r.beginCall(now)
-	r.votes.history.resolve(record)
+	r.votes.history.resolve(record, now)
+	return r.runDue()
+}
+
+// ControllerAnswered records that the rollout controller has answered a call of this replica that began at begunAt.
+func (r *Replica) ControllerAnswered(now, begunAt Micros) []Command {
+	r.beginCall(now)
+	r.votes.history.observeAnswer(r.election.now, begunAt)
+	r.election.acceptor.observeAnswer(r.election.now, begunAt)
 	return r.runDue()
 }
 
@@ -150,6 +159,9 @@
 		r.election.commitMembers()
 		r.votes.runDue(now, r.leadership(), &r.out)
 	}
+	if r.needsAnswer(now) && r.probe.isDue(now, r.election.settings) {
+		r.out.add(ProbeController{})
+	}
 	isLeaderKnown := r.IsLeader(now) || r.election.acceptor.isLeaseInForce(now)
 	if command, ok := r.selfStop.update(r.votes.recommendations.own(), r.votes.wantsRollback(), isLeaderKnown); ok {
 		r.out.add(command)
@@ -157,6 +169,11 @@
 	return r.endCall()
 }
 
+// needsAnswer reports whether an answer of the rollout controller to a call that begins now may end a wait of this replica.
+func (r *Replica) needsAnswer(now Micros) bool {
+	return r.election.acceptor.needsAnswer(now) || r.IsLeader(now) && r.votes.needsAnswer(now)
+}
+
 func (r *Replica) leadership() leadership {
 	return leadership{
 		lease:   &r.election.lease,
--- a/internal/cluster/election/settings.go
+++ b/internal/cluster/election/settings.go
@@ -8,11 +8,13 @@
 
 // Settings holds the parameters that must be the same on all replicas.
 type Settings struct {
-	Lease          Micros  // how long a leadership lasts unless it is renewed
-	ClockDrift     float64 // the most that any clock may run fast or slow, as a fraction of real time
-	MaxVoteDelay   Micros  // a vote takes effect within this time after it was written, or never
-	VoteLifetime   Micros  // how long a vote counts after it has taken effect
-	RollbackQuorum int     // how many replicas must recommend a rollback
+	Lease      Micros  // how long a leadership lasts unless it is renewed
+	ClockDrift float64 // the most that any clock may run fast or slow, as a fraction of real time
+	// MaxVoteDelay bounds how late a vote takes effect, if at all: it counts from the first answer of the rollout controller to a call that
+	// began after the vote was written. A vote is written within this time after its cast.
+	MaxVoteDelay   Micros
+	VoteLifetime   Micros // how long a vote counts after it has taken effect
+	RollbackQuorum int    // how many replicas must recommend a rollback
 }
 
 // Config configures one replica.
@@ -42,6 +44,9 @@
 	// PromiseAfterLease: until the lease that a replica has accepted ends, the replica promises nothing to replicas other than
 	// the holder of that lease.
 	PromiseAfterLease bool
+	// ControllerAnswer: how long a vote may still count is measured from an answer of the rollout controller, because a controller that
+	// stands still may carry the vote out at any later time.
+	ControllerAnswer bool
 	// LeaseFromStart: a lease counts from the start of its ballot, even if the ballot was sent again later, because promises and
 	// acceptances may be answers to the first message.
 	LeaseFromStart bool
@@ -73,6 +78,8 @@
 	// maxCallGapFraction is the maximum time between two calls to the replica's methods. If more time passes, the process may
 	// have been paused, and the replica's leadership ends.
 	maxCallGapFraction = halfLease
+	// probeFraction is the interval between two probes of the rollout controller while its answer is needed.
+	probeFraction = thirdOfLease
 	// retryFraction is how often a record or a set of members is sent again until a quorum has acknowledged it. The caller has
 	// to call Tick at least as often, unless it calls another method in between.
 	retryFraction = fifteenthOfLease
@@ -120,22 +127,17 @@
 
 func (s Settings) retryInterval() Micros { return retryFraction.of(s.Lease) }
 
+func (s Settings) probeInterval() Micros { return probeFraction.of(s.Lease) }
+
 func (s Settings) recommendationLifetime() Micros { return recommendationLeases * s.Lease }
 
 func (s Settings) recastInterval() Micros {
 	return Micros(recastLifetimeFraction * float64(s.VoteLifetime))
 }
 
-// stateLossWindow returns how long a replica that has lost its state abstains. A leader whose lease the replica has accepted may
-// cast votes for one more lease. The last of these votes may take effect up to MaxVoteDelay later, and then counts for its
-// lifetime.
-func (s Settings) stateLossWindow() Micros {
-	return s.driftUpperBound(s.Lease + s.MaxVoteDelay + s.VoteLifetime)
-}
-
-// effectDelay returns how long a vote may still take effect after it was cast.
+// effectDelay returns how long a vote may still take effect after an answer of the rollout controller.
 func (s Settings) effectDelay() Micros { return s.driftUpperBound(s.MaxVoteDelay) }
 
-// effectWindow returns how long a vote may still count after it was cast. The vote may take effect late, and then counts for its
+// effectWindow returns how long a vote may still count after an answer of the rollout controller. The vote may take effect late, and then counts for its
 // lifetime.
 func (s Settings) effectWindow() Micros { return s.driftUpperBound(s.MaxVoteDelay + s.VoteLifetime) }
--- a/internal/cluster/election/vote_caster.go
+++ b/internal/cluster/election/vote_caster.go
@@ -56,9 +56,9 @@
 	}
 }
 
-// startTerm begins a new term of this replica as the leader.
-func (v *voteCaster) startTerm(now Micros) {
-	v.history.startTerm(v.log.newest, now)
+// startTerm begins a new term of this replica as the leader. Earlier leaders have written their votes by writtenBy.
+func (v *voteCaster) startTerm(now, writtenBy Micros) {
+	v.history.startTerm(v.log.newest, now, writtenBy)
 	v.log.discardPending()
 }
 
@@ -66,6 +66,12 @@
 	return v.log.hasPending() || v.history.hasUnresolved()
 }
 
+// needsAnswer reports whether an answer of the rollout controller to a call that begins now may tell how long votes on the current stage
+// count.
+func (v *voteCaster) needsAnswer(now Micros) bool {
+	return v.rollout.isActive && v.history.needsAnswer(v.rollout.decision(NoVote), now)
+}
+
 // wantsRollback reports whether this replica's own release analyzer recommends rolling back the build under evaluation.
 func (v *voteCaster) wantsRollback() bool {
 	return v.rollout.isActive && v.recommendations.own() == v.rollout.decision(Rollback)
--- a/internal/cluster/election/vote_caster_test.go
+++ b/internal/cluster/election/vote_caster_test.go
@@ -11,7 +11,7 @@
 	held := &lease{disabled: disabled}
 	held.startTerm(testTerm)
 	held.grant(leaseUntil, InitialMembers(3))
-	v.startTerm(second)
+	v.startTerm(second, second)
 	return &v, leadership{lease: held, ballot: testTerm, members: InitialMembers(3)}
 }
 
--- a/internal/cluster/election/vote_history.go
+++ b/internal/cluster/election/vote_history.go
@@ -10,49 +10,67 @@
 	lastCast         Record // record of the last vote cast in the current term; the zero value: none
 	lastCastAt       Micros
 	lastCastResolved bool // the rollout controller has answered the last vote
+	lastCastDoubt    voteDoubt
 
 	prior      Verdict // the newest earlier verdict that differs from lastCast's verdict
-	priorUntil Micros  // the vote with the prior verdict may count until then
+	priorDoubt voteDoubt
 
 	predecessor      Record // the newest record of earlier leaders when the term began
-	predecessorUntil Micros // votes of earlier leaders may count until then
+	predecessorDoubt voteDoubt
 }
 
-// startTerm begins a new term of this replica as the leader. The votes of earlier leaders are treated as if they were cast now.
-func (h *voteHistory) startTerm(predecessor Record, now Micros) {
+// startTerm begins a new term of this replica as the leader. The votes of earlier leaders are treated as if they were cast now, and were written
+// by writtenBy.
+func (h *voteHistory) startTerm(predecessor Record, now, writtenBy Micros) {
 	h.predecessor = predecessor
-	h.predecessorUntil = now + h.settings.effectWindow()
+	h.predecessorDoubt = newVoteDoubt(h.disabled, now, writtenBy)
 	h.lastCast = Record{}
 	h.lastCastResolved = false
-	h.priorUntil = 0
+	h.prior = NoVote
 }
 
 // addCast records a vote that is cast now.
 func (h *voteHistory) addCast(record Record, now Micros) {
 	if h.lastCast.Term != 0 && h.lastCast.Verdict != record.Verdict {
 		h.prior = h.lastCast.Verdict
-		h.priorUntil = h.lastCastAt + h.settings.effectWindow()
+		h.priorDoubt = h.lastCastDoubt
 	}
 	h.lastCast = record
 	h.lastCastAt = now
 	h.lastCastResolved = false
+	h.lastCastDoubt = newVoteDoubt(h.disabled, now, now+h.settings.effectDelay())
 }
 
 // resolve records that the rollout controller has answered the vote of a record. Answers to votes before the last one are ignored.
-func (h *voteHistory) resolve(record Record) {
+func (h *voteHistory) resolve(record Record, now Micros) {
 	if record == h.lastCast {
 		h.lastCastResolved = true
+		h.lastCastDoubt.resolve(now)
 	}
 }
 
+// observeAnswer records that the rollout controller has answered a call that began at begunAt.
+func (h *voteHistory) observeAnswer(now, begunAt Micros) {
+	h.predecessorDoubt.observe(now, begunAt)
+	h.lastCastDoubt.observe(now, begunAt)
+	h.priorDoubt.observe(now, begunAt)
+}
+
+// needsAnswer reports whether a call to the rollout controller that begins now may tell how long votes on the stage of d count.
+func (h *voteHistory) needsAnswer(d Decision, now Micros) bool {
+	isPredecessorOpen := h.predecessor.Term != 0 && h.predecessor.isSameStage(d) && h.predecessorDoubt.needsAnswer(now)
+	isPriorOpen := h.prior != NoVote && h.priorDoubt.needsAnswer(now)
+	return isPredecessorOpen || h.hasCastOn(d) && (isPriorOpen || h.lastCastDoubt.needsAnswer(now))
+}
+
 func (h *voteHistory) hasUnresolved() bool { return h.lastCast.Term != 0 && !h.lastCastResolved }
 
-// earlierVotesExpireIn returns how much longer votes of an earlier leader may count.
+// earlierVotesExpireIn returns how much longer votes of an earlier leader may count at least.
 func (h *voteHistory) earlierVotesExpireIn(now Micros) Micros {
 	if h.predecessor.Term == 0 {
 		return 0
 	}
-	return max(0, h.predecessorUntil-now)
+	return h.predecessorDoubt.countsAtLeastFor(now, h.settings)
 }
 
 // isRecent reports whether d is the last decision that was cast, and need not be cast again yet.
@@ -73,7 +91,7 @@
 		return NoVote
 	case h.lastCast.Verdict != d.Verdict:
 		return h.lastCast.Verdict
-	case now < h.priorUntil:
+	case h.prior != NoVote && now < h.priorDoubt.countsUntil(h.settings):
 		return h.prior
 	}
 	return NoVote
@@ -92,7 +110,7 @@
 // count.
 func (h *voteHistory) mustWaitForPredecessor(wanted Decision, now Micros) bool {
 	earlier := h.predecessor
-	if earlier.Term == 0 || now >= h.predecessorUntil || !earlier.isSameStage(wanted) {
+	if earlier.Term == 0 || now >= h.predecessorDoubt.countsUntil(h.settings) || !earlier.isSameStage(wanted) {
 		return false
 	}
 	isPriorContrary := earlier.Prior != NoVote && earlier.Prior != wanted.Verdict
@@ -108,7 +126,7 @@
 	case h.lastCast.Verdict == Rollback && wanted.Verdict == Advance:
 		// The recommendations may alternate, but the votes must not. After a vote to roll back, a build advances only once that
 		// vote can no longer count, if at all.
-		return now < h.lastCastAt+h.settings.effectWindow()
+		return now < h.lastCastDoubt.countsUntil(h.settings)
 	}
-	return !h.lastCastResolved && now < h.lastCastAt+h.settings.effectDelay()
+	return !h.lastCastResolved && now < h.lastCastDoubt.effectUntil(h.settings)
 }
--- a/internal/rollout/client.go
+++ b/internal/rollout/client.go
@@ -79,6 +79,9 @@
 // VoteBefore casts a timed vote, which is not written after vote.WriteBefore.
 func (c *Client) VoteBefore(vote TimedVote) { c.mailbox.Put(timedVoteRequested{vote}) }
 
+// Probe asks the rollout controller for the state of the newest build, and calls answered if the controller answers.
+func (c *Client) Probe(answered func()) { c.mailbox.Put(probeRequested{answered}) }
+
 // Move makes the client use another address of the rollout controller. The old stream is read until the new stream has received the current
 // state.
 func (c *Client) Move(address string) { c.mailbox.Put(addressChanged{apiURL(address)}) }
@@ -109,6 +112,8 @@
 		go c.castVote(ctx, c.apiURL, received.vote)
 	case timedVoteRequested:
 		go c.castTimedVote(ctx, c.apiURL, received.vote)
+	case probeRequested:
+		go c.probe(ctx, c.apiURL, received.answered)
 	case barrierReceived:
 		close(received.Done)
 	case addressChanged:
--- a/internal/rollout/message.go
+++ b/internal/rollout/message.go
@@ -14,6 +14,9 @@
 // timedVoteRequested requests that a timed vote be cast.
 type timedVoteRequested struct{ vote TimedVote }
 
+// probeRequested requests a call that only tells whether the rollout controller answers.
+type probeRequested struct{ answered func() }
+
 // addressChanged requests a move to another address of the rollout controller.
 type addressChanged struct{ apiURL string }
 
@@ -37,6 +40,7 @@
 
 func (voteRequested) isMessage()      {}
 func (timedVoteRequested) isMessage() {}
+func (probeRequested) isMessage()     {}
 func (addressChanged) isMessage()     {}
 func (updateReceived) isMessage()     {}
 func (heartbeatReceived) isMessage()  {}
--- a/internal/simulation/election.go
+++ b/internal/simulation/election.go
@@ -83,6 +83,8 @@
 	timeline
 	result *ElectionResult
 	random *rand.Rand
+	// probeRandom draws the delays of probes, so that a schedule's other draws do not depend on how often replicas probe.
+	probeRandom *rand.Rand
 
 	agents         []*electionAgent
 	changesMembers bool // if set, each agent has a disk, because an agent without a disk would forget the members
@@ -98,6 +100,7 @@
 		ElectionSchedule: schedule,
 		result:           result,
 		random:           rand.New(rand.NewSource(schedule.Seed)),
+		probeRandom:      rand.New(rand.NewSource(^schedule.Seed)),
 		controller:       &rolloutController{result: result, build: 1},
 		leadership:       &leadershipObserver{result: result, leader: noAgent},
 	}
@@ -217,6 +220,8 @@
 			}
 		case election.Persist:
 			r.agents[i].persisted = &command.DurableState
+		case election.ProbeController:
+			r.probeController(i)
 		}
 	}
 }
@@ -263,8 +268,7 @@
 		delay = r.random.Int63n(electionSettings.MaxVoteDelay - ms)
 	}
 	isAnswerLost := !r.LeaderFaultOnly && r.random.Float64() < lostAnswerRate
-	stalledUntil := min(r.controller.stalledUntil, r.now+electionSettings.MaxVoteDelay-ms)
-	r.schedule(max(r.now+delay, stalledUntil), func() {
+	vote := &writtenVote{writtenAt: r.now, carryOut: func() {
 		r.controller.carryOut(r.now, i, record, castAt)
 		if isAnswerLost {
 			return
@@ -274,7 +278,32 @@
 				r.execute(i, a.replica.ResolveVote(r.clock(a), record))
 			}
 		})
-	})
+	}}
+	r.controller.write(&r.timeline, vote, r.now+delay)
+}
+
+// probeController has the rollout controller answer a call that changes nothing, once it is not stalled, unless the answer is lost.
+func (r *electionRun) probeController(i int) {
+	epoch, begunAt, begunByClock := r.agents[i].epoch, r.now, r.clock(r.agents[i])
+	var answer func()
+	answer = func() {
+		if r.now < r.controller.stalledUntil {
+			r.schedule(r.controller.stalledUntil, answer)
+			return
+		}
+		r.controller.answerCall(r.now, begunAt)
+		if !r.LeaderFaultOnly && r.probeRandom.Float64() < lostAnswerRate {
+			return
+		}
+		r.schedule(r.now+r.probeRandom.Int63n(defaultDelay)+1, func() {
+			r.runAgent(i, func(a *electionAgent) {
+				if a.epoch == epoch {
+					r.execute(i, a.replica.ControllerAnswered(r.clock(a), begunByClock))
+				}
+			})
+		})
+	}
+	r.schedule(r.now+r.probeRandom.Int63n(defaultDelay)+1, answer)
 }
 
 // leaderOrAny returns an agent that leads, even if it is paused, or a random agent if none leads.
--- a/internal/simulation/election_controller.go
+++ b/internal/simulation/election_controller.go
@@ -17,6 +17,7 @@
 	badSince     int64
 	stalledUntil int64
 	votes        []effectiveVote // on the current stage
+	written      []*writtenVote  // votes that have not been carried out
 	newestVote   effectiveVote   // the last vote carried out; its field until holds when the vote took effect
 }
 
@@ -27,6 +28,45 @@
 	until  int64 // when its lifetime ends
 }
 
+// writtenVote is a vote that the rollout controller has received and not carried out.
+type writtenVote struct {
+	writtenAt int64
+	carryOut  func()
+	isBounded bool  // the controller has answered a call that began after the vote was written
+	latest    int64 // the latest time at which the vote is carried out; only if isBounded
+}
+
+// write receives a vote that is carried out at the time at, or at the end of a stall that has begun by then. Once the controller has answered a
+// call that began after the vote was written, the vote is carried out within MaxVoteDelay even if the controller stalls again.
+func (c *rolloutController) write(t *timeline, vote *writtenVote, at int64) {
+	c.written = append(c.written, vote)
+	c.scheduleVote(t, vote, at)
+}
+
+func (c *rolloutController) scheduleVote(t *timeline, vote *writtenVote, at int64) {
+	t.schedule(at, func() {
+		resumesAt := c.stalledUntil
+		if vote.isBounded {
+			resumesAt = min(resumesAt, vote.latest)
+		}
+		if t.now < resumesAt {
+			c.scheduleVote(t, vote, resumesAt)
+			return
+		}
+		c.written = slices.DeleteFunc(c.written, func(other *writtenVote) bool { return other == vote })
+		vote.carryOut()
+	})
+}
+
+// answerCall records that the controller has answered a call that began at begunAt.
+func (c *rolloutController) answerCall(now, begunAt int64) {
+	for _, vote := range c.written {
+		if !vote.isBounded && vote.writtenAt <= begunAt {
+			vote.isBounded, vote.latest = true, now+electionSettings.MaxVoteDelay-ms
+		}
+	}
+}
+
 // nextStage moves the rollout to the next stage. Votes on the previous stage no longer have an effect.
 func (c *rolloutController) nextStage() {
 	c.stage++
--- a/internal/simulation/election_faults.go
+++ b/internal/simulation/election_faults.go
@@ -34,6 +34,8 @@
 	// leaderFaultRate is the fraction of the faults of one agent that are aimed at the leader, if there is one. The other faults of
 	// one agent hit a random agent.
 	leaderFaultRate = 0.6
+	// controllerStallFactor is how many times longer than other faults a stall of the rollout controller lasts.
+	controllerStallFactor = 3
 	// inboundRate is the fraction of the cutOneDirection faults that cut what an agent receives. The other cutOneDirection faults
 	// cut what an agent sends.
 	inboundRate = 0.5
@@ -88,7 +90,7 @@
 		f.agents[i].crash()
 		f.schedule(f.now+span/4, func() { f.start(i, true) })
 	case stallController:
-		f.controller.stalledUntil = f.now + span
+		f.controller.stalledUntil = max(f.controller.stalledUntil, f.now+controllerStallFactor*span)
 		f.agents[i].pause(&f.timeline, span/2)
 	case changeMembers:
 		for range 1 + f.random.Intn(maxChangesAtATime) {
--- a/internal/simulation/election_test.go
+++ b/internal/simulation/election_test.go
@@ -21,12 +21,12 @@
 	if n := violated(election.DisabledGuards{}); n > 0 {
 		t.Errorf("%d of 150 schedules have violations, want none", n)
 	}
-	for name, off := range map[string]election.DisabledGuards{"lease": {LeaseTimeout: true}, "wait": {WaitForEarlierVotes: true}, "record": {QuorumBeforeCast: true}} {
+	for name, off := range map[string]election.DisabledGuards{"lease": {LeaseTimeout: true}, "wait": {WaitForEarlierVotes: true}, "record": {QuorumBeforeCast: true}, "answer": {ControllerAnswer: true}} {
 		if violated(off) == 0 {
 			t.Errorf("no schedule has a violation without the guard %s, want at least one", name)
 		}
 	}
-	first = 400 // a violation needs a ballot that is sent again and whose first answers are late, which happens in one of several hundred schedules
+	first = 1400 // a violation needs a ballot that is sent again and whose first answers are late, which happens in one of some thousand schedules
 	if violated(election.DisabledGuards{LeaseFromStart: true}) == 0 {
 		t.Error("no schedule has a violation where a lease counts from when its ballot was sent again, want at least one")
 	}
