election: terms keep rising when replicas have lost their state

Cause: a replica without state begins with ballot 1, so a leader elected by two of three replicas that had lost their state wrote records of term 257. The third, which had kept a record of term 3330 and led later, took that for the newest and did not know of the vote between.

Change: a replica that starts without state begins with a round taken from the time in milliseconds, which grows faster than ballots do. So its terms are higher than all before. No message changes.

--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -94,8 +94,10 @@
 			State:    config.State,
 			Settings: config.Settings,
 			IsFresh:  config.State == nil, // no stored state, although the agent may have run before: the replica abstains at first
-			Now:      replicaClock.now(),
-			Seed:     config.Seed,
+			// The rounds of ballots grow by far less than one in a millisecond, so those of this start are higher than all before.
+			FirstRound: uint64(time.Now().UnixMilli()),
+			Now:        replicaClock.now(),
+			Seed:       config.Seed,
 		}),
 		state:          stateWriter{store: store, syncs: exported.stateSyncs},
 		recommendation: repeatedRecommendation{interval: leaseDuration / recommendationsPerLease},
--- a/internal/cluster/election/candidate.go
+++ b/internal/cluster/election/candidate.go
@@ -17,11 +17,16 @@
 	hasProposed bool
 	hasWon      bool
 
-	highestSeen uint64 // highest ballot named in a received Nack or TransferLease message
+	// highestSeen is the highest ballot named in a received Nack or TransferLease message, or the first round of a replica without state.
+	highestSeen uint64
 }
 
 func newCandidate(config Config) candidate {
-	return candidate{settings: config.Settings, disabled: config.DisabledGuards}
+	c := candidate{settings: config.Settings, disabled: config.DisabledGuards}
+	if config.IsFresh {
+		c.highestSeen = config.FirstRound << ballotOwnerBits
+	}
+	return c
 }
 
 // start begins a new ballot, which replaces the previous one.
--- a/internal/cluster/election/cluster_test.go
+++ b/internal/cluster/election/cluster_test.go
@@ -292,3 +292,31 @@
 		t.Errorf("the last verdict cast is %v after two replicas, which are enough, recommended a rollback, want a rollback", got)
 	}
 }
+
+// If most replicas lose their state, the records of the next leader look newer than those that another replica has kept from before. A leader
+// that the latter elects later would otherwise not know of the votes between.
+func TestTermsRiseAfterLossOfState(t *testing.T) {
+	c := newCluster(false)
+	c.runUntil(electionDone)
+	kept := c.leader()
+	c.recommend(kept, Advance)
+	before := c.replicas[kept].Status(c.now).Newest
+	c.isPartitioned[kept] = true
+	for i := range c.replicas {
+		if i != kept {
+			c.replicas[i] = New(Config{
+				ID: i, Members: InitialMembers(clusterSize), Settings: testSettings(), IsFresh: true, FirstRound: uint64(c.now / ms), Now: c.now, Seed: int64(i + 1),
+			})
+			c.execute(i, c.replicas[i].UpdateRollout(c.now, 1, 0, true))
+		}
+	}
+	c.runUntil(c.now + 12*second)
+	leader := c.leader()
+	if leader < 0 || leader == kept {
+		t.Fatalf("replica %d leads, want one of those that have lost their state", leader)
+	}
+	c.recommend(leader, Rollback)
+	if after := c.replicas[leader].Status(c.now).Newest; after.Verdict != Rollback || !after.isNewerThan(before) {
+		t.Errorf("the record %+v after the loss of state is not newer than %+v", after, before)
+	}
+}
--- a/internal/cluster/election/settings.go
+++ b/internal/cluster/election/settings.go
@@ -27,8 +27,11 @@
 	// IsFresh marks a replica that has no state although it may have run before. Such a replica abstains until all leases that it
 	// may have accepted have ended, and the votes cast under them can no longer count.
 	IsFresh bool
-	Now     Micros // current time by the replica's own clock
-	Seed    int64  // seed of the random delays before campaigns
+	// FirstRound is the lowest round of the ballots of a replica that IsFresh. It has to be higher than the rounds of all ballots before the
+	// replica lost its state: if most replicas lose their state, a leader's records must not look older than those of earlier terms.
+	FirstRound uint64
+	Now        Micros // current time by the replica's own clock
+	Seed       int64  // seed of the random delays before campaigns
 }
 
 // DisabledGuards turns safety guards off, which shows whether a checker finds the violations that the guards prevent. Each field,
--- a/internal/simulation/election.go
+++ b/internal/simulation/election.go
@@ -183,6 +183,7 @@
 		Settings:       electionSettings,
 		DisabledGuards: r.DisabledGuards,
 		IsFresh:        isFresh,
+		FirstRound:     uint64(r.now / ms),
 		Now:            r.clock(a),
 		Seed:           seed,
 	})
