upstream: an attempt is not sent after its client has left

Cause: a client's leaving reaches the policy, which forgets the request, but not the exchange that waits for its connection, whose request was written when the connection came up.

Change: an attempt has a flag that the event loop sets when its request is answered or its client has gone.

--- a/internal/agent/commands.go
+++ b/internal/agent/commands.go
@@ -79,6 +79,7 @@
 		Encoded:   request.Encoded,
 		DecidedAt: decidedAt,
 		Deadline:  attemptDeadline(request.Deadline, decidedAt, command.Timeout),
+		Withdrawn: &request.withdrawn,
 	}
 	if command.WriteBefore != 0 {
 		attempt.WriteBefore = e.clock.Time(command.WriteBefore)
--- a/internal/agent/open_requests.go
+++ b/internal/agent/open_requests.go
@@ -107,6 +107,7 @@
 // the request's OnDone: the client has gone, and its last attempt has brought no response.
 func (r *openRequests) finish(id uint64, request *Request) {
 	request.answered = true
+	request.withdrawn.Store(true)
 	if request.inFlight > 0 {
 		return
 	}
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"sync/atomic"
 	"time"
 
 	"switchfork/internal/admission"
@@ -33,6 +34,8 @@
 	inFlight int                // attempts that have not ended
 	attempts int                // attempts that were sent
 	endpoint *upstream.Endpoint // endpoint of the latest attempt
+	// withdrawn is set with answered. An attempt that has not been written by then is not written. Endpoints read it.
+	withdrawn atomic.Bool
 }
 
 // NewRequest creates a request that has to be answered by deadline. onDone is called once the request is answered and none of its attempts
--- a/internal/upstream/attempts.go
+++ b/internal/upstream/attempts.go
@@ -23,11 +23,11 @@
 }
 
 // start sends an exchange on the idle connection that was used last, or dials a new one. The exchange ends as not sent if its deadline has
-// passed, if the endpoint has been removed, or if no descriptor is left. An attempt also ends as not sent if the endpoint is draining.
+// passed, if its request is withdrawn, if the endpoint has been removed, or if no descriptor is left. An attempt also ends as not sent if the endpoint is draining.
 func (w *worker) start(exchange *httpExchange) {
 	wait := time.Until(exchange.Deadline)
 	isRefused := w.isRemoved || w.isDraining && !exchange.isHealthCheck
-	if wait <= 0 || isRefused {
+	if wait <= 0 || isRefused || exchange.isWithdrawn() {
 		w.finish(exchange, protocol.NotSent, nil)
 		return
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"sync/atomic"
 	"time"
 
 	"switchfork/internal/protocol"
@@ -13,8 +14,14 @@
 	DecidedAt   time.Time // when the policy chose the endpoint
 	Deadline    time.Time
 	WriteBefore time.Time // the request's last byte must be sent before this time; zero: no limit
+	// Withdrawn is set when nobody waits for the request any more. A request that has not been written by then must not be written. The
+	// owner of the request may set it at any time; nil: it is never withdrawn.
+	Withdrawn *atomic.Bool
 }
 
+// isWithdrawn reports whether nobody waits for the request any more.
+func (a *Attempt) isWithdrawn() bool { return a.Withdrawn != nil && a.Withdrawn.Load() }
+
 // writeDeadline returns the time after which no part of the request may be written.
 func (a *Attempt) writeDeadline() time.Time {
 	if !a.WriteBefore.IsZero() && a.WriteBefore.Before(a.Deadline) {
