Review case 8: with admission control a burst goes past the exposure cap

Cause: the exposure window counts a request when admission control hands it on, not when it was taken; a burst that waited in the queues counts as new in the seconds after it.

--- a/review/standins-2/case_ask.go
+++ b/review/standins-2/case_ask.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"time"
 )
@@ -13,6 +15,8 @@
 		"ask":   caseAsk,
 		"gone":  caseGone,
 		"moved": caseMoved,
+		"stall": caseStall,
+		"door":  caseDoor,
 	}
 }
 
@@ -41,8 +45,13 @@
 
 // ask sends one GET and notes its answer.
 func (l *lab) ask(address, id, class string, patience time.Duration) (status int) {
-	raw := fmt.Sprintf("GET /%s?sid=%016x HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline-Ms: %d\r\n\r\n",
-		class, hash(id), id, class, patience.Milliseconds())
+	return l.askNoting(address, id, class, patience, func(time.Time) {})
+}
+
+// askNoting also passes on when the request's last byte has been written.
+func (l *lab) askNoting(address, id, class string, patience time.Duration, written func(time.Time)) (status int) {
+	raw := fmt.Sprintf("GET /%s?sid=%016x HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: %s\r\nX-Deadline-Ms: %d\r\n\r\n",
+		class, hash(id+salt), id, class, tenantOf(id), patience.Milliseconds())
 	sent := time.Now()
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
@@ -52,12 +61,24 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(sent.Add(patience + time.Second))
 	if _, err = conn.Write([]byte(raw)); err == nil {
+		written(time.Now())
 		status, _, err = readAnswer(bufio.NewReader(conn))
 	}
 	l.noteAt(sent, "client: %s sent, answer %d after %d ms, err %v", id, status, time.Since(sent).Milliseconds(), err)
 	return status
 }
 
+// tenantOf names the tenant of a request by the beginning of its id.
+func tenantOf(id string) string {
+	if strings.HasPrefix(id, "reef") {
+		return "reef-calor"
+	}
+	return "koro-array"
+}
+
+// salt makes the keys of each run new.
+var salt = fmt.Sprint(rand.Uint64())
+
 func hash(s string) uint64 {
 	h := uint64(14695981039346656037)
 	for _, c := range []byte(s) {
--- a/review/standins-2/lab.go
+++ b/review/standins-2/lab.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -90,11 +91,17 @@
 	_ = os.RemoveAll(l.dir)
 }
 
-// freeAddress returns a loopback address whose port is free now.
+// freeAddress returns a loopback address whose port is free now. It lies below the ports that the system gives to clients, so that no
+// client's connection takes it before the agent listens.
 func freeAddress() string {
-	listener := must1(net.Listen("tcp", "127.0.0.1:0"))
-	defer listener.Close()
-	return listener.Addr().String()
+	for range 1000 {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(17000)))
+		if err == nil {
+			defer listener.Close()
+			return listener.Addr().String()
+		}
+	}
+	panic(fatal{"no free port"})
 }
 
 // runLine returns the command of the deploy file that starts an agent.
--- a/review/standins-2/servers.go
+++ b/review/standins-2/servers.go
@@ -166,10 +166,11 @@
 type platform struct {
 	lab      *lab
 	listener net.Listener
+	news     string // the state of the newest build, as a form
 }
 
 func (l *lab) newPlatform() *platform {
-	p := &platform{lab: l, listener: must1(net.Listen("tcp", "127.0.0.1:0"))}
+	p := &platform{lab: l, listener: must1(net.Listen("tcp", "127.0.0.1:0")), news: "image=41&ring=3&progress=live&ceiling=1&lag_ms=90000"}
 	server := &http.Server{Handler: http.HandlerFunc(p.serve)}
 	go server.Serve(p.listener)
 	return p
@@ -186,7 +187,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	io.WriteString(w, "event: ROLLOUT\ndata: image=41&ring=3&progress=live&ceiling=1&lag_ms=90000\n\n")
+	fmt.Fprintf(w, "event: ROLLOUT\ndata: %s\n\n", p.news)
 	w.(http.Flusher).Flush()
 	for {
 		select {
@@ -213,6 +214,7 @@
 	host     string
 	listener net.Listener
 	work     time.Duration
+	slots    chan struct{} // requests served at a time; nil: any number
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -286,7 +288,13 @@
 		e.arrivals = append(e.arrivals, came)
 		e.mu.Unlock()
 		e.lab.noteAt(came.begun, "server %s: %s %s begins (X-Deadline-Ms %s)", e.host, id, came.target, request.Header.Get("X-Deadline-Ms"))
+		if e.slots != nil {
+			e.slots <- struct{}{}
+		}
 		time.Sleep(e.work)
+		if e.slots != nil {
+			<-e.slots
+		}
 		body := "done " + id
 		if _, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
 			return
