Review case 6: an answer with a Content-Length that is too short is served cut

Cause: bytes behind a response only mark the connection as its last; the response that they show to be cut may be served as good. Change: the case (claim, script, stand-in that writes the spoilt answer).

--- a/review/standins-2/case_ask.go
+++ b/review/standins-2/case_ask.go
@@ -13,8 +13,8 @@
 func allCases() map[string]func(*lab) verdict {
 	return map[string]func(*lab) verdict{
 		"ask":   caseAsk,
+		"cut":   caseCut,
 		"gone":  caseGone,
-		"moved": caseMoved,
 		"stall": caseStall,
 		"door":  caseDoor,
 	}
--- a/review/standins-2/servers.go
+++ b/review/standins-2/servers.go
@@ -214,7 +214,8 @@
 	host     string
 	listener net.Listener
 	work     time.Duration
-	slots    chan struct{} // requests served at a time; nil: any number
+	slots    chan struct{}                        // requests served at a time; nil: any number
+	answer   func(conn net.Conn, id string) error // writes an answer in place of the usual one; nil: the usual one
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -295,6 +296,12 @@
 		if e.slots != nil {
 			<-e.slots
 		}
+		if e.answer != nil {
+			if e.answer(conn, id) != nil {
+				return
+			}
+			continue
+		}
 		body := "done " + id
 		if _, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
 			return
