--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/standins-2"
 mkdir -p ../../bin
-CGO_ENABLED=0 go build -o ../../bin/review2 .
+CGO_ENABLED=0 GOWORK=off GOFLAGS= GOTOOLCHAIN=local go build -o ../../bin/review2 .
--- a/review/standins-2/case_ask.go
+++ b/review/standins-2/case_ask.go
@@ -14,8 +14,8 @@
 	return map[string]func(*lab) verdict{
 		"ask":   caseAsk,
 		"cut":   caseCut,
+		"short": caseShort,
 		"gone":  caseGone,
-		"stall": caseStall,
 		"door":  caseDoor,
 	}
 }
--- a/review/standins-2/servers.go
+++ b/review/standins-2/servers.go
@@ -205,6 +205,7 @@
 // arrival is a request that an endpoint has received whole.
 type arrival struct {
 	host, id, target string
+	body             string
 	begun, whole     time.Time // first and last byte
 }
 
@@ -271,7 +272,7 @@
 		if err != nil {
 			return
 		}
-		_, err = io.Copy(io.Discard, request.Body)
+		sent, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
 		}
@@ -284,7 +285,7 @@
 			fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", status)
 			continue
 		}
-		came := arrival{host: e.host, id: id, target: request.RequestURI, begun: timed.begun, whole: time.Now()}
+		came := arrival{host: e.host, id: id, target: request.RequestURI, body: string(sent), begun: timed.begun, whole: time.Now()}
 		e.mu.Lock()
 		e.arrivals = append(e.arrivals, came)
 		e.mu.Unlock()
