Review: a case that is cut short ends its processes too

Cause: with its output closed early, or on a signal, the player ended before it had ended the agent (seen once). Change: the player ignores SIGPIPE, and ends what it started on SIGTERM, SIGINT and SIGHUP.

--- a/review/standins-2/lab.go
+++ b/review/standins-2/lab.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"sort"
@@ -203,6 +204,14 @@
 	}
 	l := newLab()
 	code := 2
+	signal.Ignore(syscall.SIGPIPE) // who reads the output may leave first
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-ended
+		l.stopAll()
+		os.Exit(2)
+	}()
 	func() {
 		defer l.stopAll()
 		defer func() {
