Upstream: a log line for bytes that follow a response

The agent could not tell from its log whether an endpoint sent more than its response announces. It also sees bytes that are still in the kernel, which the read buffer misses if a body is longer than the buffer; such a connection now ends with its response, too.

--- a/internal/tcpconn/input.go
+++ b/internal/tcpconn/input.go
@@ -23,6 +23,22 @@
 	return err == nil && isOpen
 }
 
+// PeekUnread copies unread input of a connection to b without reading it, and returns the number of bytes. It does not wait for input. It
+// returns 0 if the connection has none, is closed, or does not give access to its descriptor.
+func PeekUnread(conn any, b []byte) (n int) {
+	withSyscalls, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := withSyscalls.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	// Control fails only on a closed connection, whose input can't be read.
+	_ = raw.Control(func(fd uintptr) { n, _, _ = unix.Recvfrom(int(fd), b, unix.MSG_PEEK|unix.MSG_DONTWAIT) })
+	return max(0, n)
+}
+
 // HalfCloseIfNoInput half closes a connection that is open and has no unread input, and reports whether it did. The half close follows the
 // check at once, without blocking, so that only bytes that arrive between these two system calls are missed.
 func HalfCloseIfNoInput(conn syscall.RawConn) bool {
--- a/internal/upstream/response_reader.go
+++ b/internal/upstream/response_reader.go
@@ -53,7 +53,7 @@
 }
 
 // next reads one response and skips interim responses before it. If more bytes follow the response, the response is marked as the
-// connection's last.
+// connection's last, or rejected if it may not be whole.
 func (r *responseReader) next(loadReportFields []string) (*protocol.Response, error) {
 	r.limit.N = protocol.HeadLimit + protocol.BodyLimit
 	for {
@@ -68,8 +68,7 @@
 		r.hasBegun = false
 		_ = r.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection, which the next Read reports
 		if response != nil {
-			response.IsLast = response.IsLast || r.buffered.Buffered() > 0
-			return response, nil
+			return r.checkTrailing(response)
 		}
 	}
 }
