Proxy: a log line for attempts whose client has left

Before an attempt is written, the kernel is asked whether the request's client has closed its connection; if it has, the line "client has left before its request was sent" says so and how much of its input is unread. Nothing else changes yet. Before, the log could not tell a request that waited in the accept queue from one that net/http had not noticed the end of.

--- a/internal/agent/commands.go
+++ b/internal/agent/commands.go
@@ -80,6 +80,8 @@
 		DecidedAt: decidedAt,
 		Deadline:  attemptDeadline(request.Deadline, decidedAt, command.Timeout),
 		Withdrawn: &request.withdrawn,
+
+		HasClientLeft: request.HasClientLeft,
 	}
 	if command.WriteBefore != 0 {
 		attempt.WriteBefore = e.clock.Time(command.WriteBefore)
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -26,6 +26,9 @@
 	Deadline       time.Time
 	OnDone         func() // called once the request is answered and has no attempt in flight; nil: not called
 	OnFirstAttempt func() // called before the first attempt is sent; nil: not called
+	// HasClientLeft reports whether the client has closed its connection. It is called before an attempt is written, by any goroutine;
+	// nil: the client never does.
+	HasClientLeft func() bool
 
 	replies  chan Reply     // buffers the one final reply
 	retries  []*JoinedRetry // the retries that wait for the reply as well
--- a/internal/connlimit/budget.go
+++ b/internal/connlimit/budget.go
@@ -45,8 +45,8 @@
 	return float64(free) < freeShare*float64(b.limit)
 }
 
-// maxClients returns how many connections clients may have.
-func (b *Budget) maxClients() int {
+// MaxClients returns how many connections clients may have.
+func (b *Budget) MaxClients() int {
 	return max(1, int(clientShare*float64(b.limit)))
 }
 
@@ -68,7 +68,7 @@
 func (b *Budget) AcquireClient() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.isExhausted() || b.clientConns >= b.maxClients() {
+	if b.isExhausted() || b.clientConns >= b.MaxClients() {
 		return false
 	}
 	b.clientConns++
--- a/internal/proxy/round_trip.go
+++ b/internal/proxy/round_trip.go
@@ -92,6 +92,7 @@
 	}
 	encoded := protocol.EncodeRequest(r.Method, received.target, r.Host, r.Header, received.body)
 	request := agent.NewRequest(encoded, receivedAt.Add(received.timeout), onDone)
+	request.HasClientLeft = clientPresence(r)
 	if p.isDraining.Load() && request.Deadline.After(p.drainDeadline) {
 		request.Deadline = p.drainDeadline // the process can't answer it later
 	}
--- a/internal/upstream/transfer.go
+++ b/internal/upstream/transfer.go
@@ -16,6 +16,7 @@
 
 // write sends an exchange's request on a connection.
 func (w *worker) write(conn *connection, exchange *httpExchange) {
+	exchange.logIfAbandoned()
 	request := exchange.Encoded.Bytes(time.Until(exchange.Deadline))
 	conn.readNext <- struct{}{} // sent before the write, as the response may arrive before the request is written completely
 	conn.exchange = exchange
