Upstream: nothing is written for a client that has closed its connection

Cause: the request waits with its connection in the accept queue; once accepted it is read and sent at once, and net/http reads the end of the connection only beside that. Nobody asked whether the client is still there.

Evidence: the log line "client has left before its request was sent" stood for each of the requests that the endpoint got.

Change: worker.write, which every attempt passes whatever it has waited for, asks the kernel for the state of the client's connection and ends the attempt as not sent. The event loop then ends the request as one whose client has gone, with a reply for a handler that has not noticed.

Cost: two system calls an attempt.

--- a/internal/agent/commands.go
+++ b/internal/agent/commands.go
@@ -81,7 +81,7 @@
 		Deadline:  attemptDeadline(request.Deadline, decidedAt, command.Timeout),
 		Withdrawn: &request.withdrawn,
 
-		HasClientLeft: request.HasClientLeft,
+		HasClientLeft: request.checkClient,
 	}
 	if command.WriteBefore != 0 {
 		attempt.WriteBefore = e.clock.Time(command.WriteBefore)
--- a/internal/agent/open_requests.go
+++ b/internal/agent/open_requests.go
@@ -54,10 +54,15 @@
 	if request == nil || request.answered {
 		return false
 	}
+	r.finishAbandoned(id, request)
+	return true
+}
+
+// finishAbandoned ends a request whose client has gone.
+func (r *openRequests) finishAbandoned(id uint64, request *Request) {
 	request.result = admission.ClientGone
 	r.activity.cancelledByClient++
 	r.finish(id, request)
-	return true
 }
 
 // reply answers a request with the policy's rejection or failure, unless the request is already answered.
@@ -87,6 +92,12 @@
 		return true
 	}
 	request.inFlight--
+	if !request.answered && request.clientLeft.Load() { // seen before the attempt was written, so it was not
+		// The reply ends the wait of a proxy that can't see the client's close behind unread input.
+		request.Deliver(Reply{Rejected: request.attempts == 1})
+		r.finishAbandoned(finished.RequestID, request)
+		return true
+	}
 	isFinal := finished.Result == protocol.Succeeded || finished.Result == protocol.ClientError
 	if !isFinal && !request.answered {
 		return false
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -39,6 +39,8 @@
 	endpoint *upstream.Endpoint // endpoint of the latest attempt
 	// withdrawn is set with answered. An attempt that has not been written by then is not written. Endpoints read it.
 	withdrawn atomic.Bool
+	// clientLeft is set once HasClientLeft has returned true. Endpoints set it.
+	clientLeft atomic.Bool
 }
 
 // NewRequest creates a request that has to be answered by deadline. onDone is called once the request is answered and none of its attempts
@@ -56,6 +58,15 @@
 // Deliver gives the final reply to the client. Only the goroutine that owns the request may call it, once.
 func (r *Request) Deliver(reply Reply) { r.replies <- reply }
 
+// checkClient reports whether the client has left, and records it if so.
+func (r *Request) checkClient() (hasLeft bool) {
+	if r.HasClientLeft == nil || !r.HasClientLeft() {
+		return false
+	}
+	r.clientLeft.Store(true)
+	return true
+}
+
 // canBeJoined reports whether a retry may wait for the reply to this request: it is not answered yet, or its client has gone while an attempt
 // is in flight, whose response nobody else waits for.
 func (r *Request) canBeJoined() bool {
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -58,8 +58,7 @@
 	}
 }
 
-// connected writes an exchange's request on its new connection, or makes the connection idle if the exchange has finished or its request was
-// withdrawn meanwhile. It closes a connection to a process that has been replaced or removed meanwhile.
+// connected writes an exchange's request on its new connection, or makes the connection idle if the exchange has finished meanwhile. It closes a connection to a process that has been replaced or removed meanwhile.
 func (w *worker) connected(conn *connection, exchange *httpExchange) {
 	switch {
 	case !w.isCurrent(conn):
@@ -69,9 +68,6 @@
 		}
 	case exchange.isFinished:
 		w.makeIdle(conn) // for the next exchange
-	case exchange.isWithdrawn():
-		w.makeIdle(conn)
-		w.finish(exchange, protocol.NotSent, nil)
 	default:
 		w.write(conn, exchange)
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -17,18 +17,17 @@
 	// Withdrawn is set when nobody waits for the request any more. A request that has not been written by then must not be written. The
 	// owner of the request may set it at any time; nil: it is never withdrawn.
 	Withdrawn *atomic.Bool
-	// HasClientLeft reports whether the request's client has closed its connection. nil: it never does.
+	// HasClientLeft reports whether the request's client has closed its connection. Nothing of the request may be written from then on.
+	// nil: it never does.
 	HasClientLeft func() bool
 }
 
 // isWithdrawn reports whether nobody waits for the request any more.
 func (a *Attempt) isWithdrawn() bool { return a.Withdrawn != nil && a.Withdrawn.Load() }
 
-// logIfAbandoned looks for the request's client, which logs if it has left.
-func (a *Attempt) logIfAbandoned() {
-	if a.HasClientLeft != nil {
-		a.HasClientLeft()
-	}
+// isAbandoned reports whether nobody waits for the request any more, or its client has left without having been noticed yet.
+func (a *Attempt) isAbandoned() bool {
+	return a.isWithdrawn() || a.HasClientLeft != nil && a.HasClientLeft()
 }
 
 // writeDeadline returns the time after which no part of the request may be written.
--- a/internal/upstream/transfer.go
+++ b/internal/upstream/transfer.go
@@ -14,9 +14,14 @@
 // connection without other outstanding data, so the write does not block. A longer request is written by a separate goroutine.
 const maxInlineWriteBytes = 8 << 10
 
-// write sends an exchange's request on a connection.
+// write sends an exchange's request on a connection, unless nobody waits for it any more. Every attempt comes this way, whatever it has
+// waited for before.
 func (w *worker) write(conn *connection, exchange *httpExchange) {
-	exchange.logIfAbandoned()
+	if exchange.isAbandoned() {
+		w.makeIdle(conn) // for the next exchange
+		w.finish(exchange, protocol.NotSent, nil)
+		return
+	}
 	request := exchange.Encoded.Bytes(time.Until(exchange.Deadline))
 	conn.readNext <- struct{}{} // sent before the write, as the response may arrive before the request is written completely
 	conn.exchange = exchange
