Proxy: nothing is sent for a client whose close can't be seen behind its input

Cause: net/http notices a close by reading, and reads ahead 4 KiB at most.

Change: in the same place, a client with more than a quarter of the receive buffer unread (72 KiB, one longest request, at most) is taken for one that can't be seen. Nothing more is written for it; its request is answered with 503, or 504 if an attempt was made before, and the connection closes. Clients of the protocol send one request at a time on a connection; one that writes its next request early, of 24 KiB in TestEarlyRequestIsServed, is served.

--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -46,6 +46,7 @@
 	isPipelined   bool           // bytes of the next request arrived before the response to the last one was written
 	lastFraming   requestFraming // of the last request whose head has been read
 	isHalfClosed  bool           // half closed by retire, so that the client is notified of the close
+	hasOverrun    bool           // the client has sent more ahead of a response than hasLeft allows
 	isLingering   bool           // half closed by Close, which waits for the client to close
 }
 
--- a/internal/proxy/client_presence.go
+++ b/internal/proxy/client_presence.go
@@ -3,18 +3,33 @@
 import (
 	"net/http"
 
+	"switchfork/internal/protocol"
 	"switchfork/internal/ratelog"
 	"switchfork/internal/tcpconn"
 )
 
-// hasLeft reports whether the client has closed its connection.
+const (
+	// maxUnreadBytes is the longest input that a client may send ahead of a response: one request of the greatest length.
+	maxUnreadBytes = protocol.HeadLimit + protocol.BodyLimit
+	// unreadBufferDivisor bounds the input that may be sent ahead to a fraction of the kernel's receive buffer. The client's close arrives
+	// behind its input, and only while the buffer has room.
+	unreadBufferDivisor = 4
+)
+
+// hasLeft reports whether the client has closed its connection, or has sent so much ahead that its close could not be seen.
 func (c *clientConn) hasLeft() bool {
 	peer := tcpconn.PeerOf(c.raw)
-	if !peer.IsGone {
-		return false
+	hasOverrun := peer.UnreadBytes > min(maxUnreadBytes, peer.ReceiveBuffer/unreadBufferDivisor)
+	switch {
+	case peer.IsGone:
+		ratelog.Warn("client left", "client has left before its request was sent", "unread_bytes", peer.UnreadBytes)
+	case hasOverrun:
+		ratelog.Warn("client overrun", "client has sent too much before its response", "unread_bytes", peer.UnreadBytes)
+		c.mu.Lock()
+		c.hasOverrun = true
+		c.mu.Unlock()
 	}
-	ratelog.Warn("client left", "client has left before its request was sent", "unread_bytes", peer.UnreadBytes)
-	return true
+	return peer.IsGone || hasOverrun
 }
 
 // clientPresence returns the function by which a request's client is looked for before an attempt is written.
@@ -25,3 +40,14 @@
 	}
 	return conn.hasLeft
 }
+
+// hasOverrunBy reports whether the client of a response has sent too much ahead, so that the response has to be its connection's last.
+func hasOverrunBy(response *http.Response) bool {
+	conn, ok := response.Request.Context().Value(connKey{}).(*clientConn)
+	if !ok {
+		return false
+	}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.hasOverrun
+}
--- a/internal/tcpconn/peer.go
+++ b/internal/tcpconn/peer.go
@@ -11,6 +11,8 @@
 type Peer struct {
 	IsGone      bool // the peer has closed its side or reset the connection, or the connection is closed on this side
 	UnreadBytes int  // input that has arrived and is not read
+	// ReceiveBuffer is the size of the kernel's receive buffer in bytes. A peer's close does not arrive while the buffer is full.
+	ReceiveBuffer int
 }
 
 // PeerOf returns what the kernel knows of a connection's peer. It reads nothing. The close of a peer is known although input from before the
@@ -19,6 +21,7 @@
 	err := conn.Control(func(fd uintptr) {
 		peer.IsGone = isPeerGone(int(fd))
 		peer.UnreadBytes, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) // 0 if the kernel does not report it
+		peer.ReceiveBuffer, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
 	})
 	if err != nil {
 		peer.IsGone = true
