--- a/cmd/switchfork/serve.go
+++ b/cmd/switchfork/serve.go
@@ -169,6 +169,7 @@
 		MaxOpenRequests: p.settings.connections.MaxOpenRequests,
 		MaxRetryAfter:   p.settings.connections.MaxRetryAfter,
 		Budget:          p.budget,
+		Memory:          connlimit.NewMemoryBudget(p.settings.requestMemory()),
 		LastRequestID:   firstRequestID(p.settings.seed),
 	})
 }
--- a/cmd/switchfork/settings.go
+++ b/cmd/switchfork/settings.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 
 	"switchfork/internal/config"
+	"switchfork/internal/proxy"
 )
 
 const (
@@ -15,6 +16,12 @@
 	// gcPercent lets garbage grow to several times the live data before a collection. The live data is only a few MB, so earlier
 	// collections would not be worth their time.
 	gcPercent = 400
+
+	bytesPerMB = 1 << 20
+	// clientConnMemoryShare is the part of the agent's memory limit that connections to clients may take.
+	clientConnMemoryShare = 0.25
+	// requestMemoryShare is the part of the agent's memory limit that clients' requests may take.
+	requestMemoryShare = 0.2
 )
 
 // deploymentSettings holds the values of the configuration from which an agent is built.
@@ -49,9 +56,18 @@
 	return settings, file.Err()
 }
 
+// maxClients returns how many connections to clients fit into their part of the memory limit.
+func (s *deploymentSettings) maxClients() int {
+	return int(clientConnMemoryShare * float64(s.limits.MemoryMB) * bytesPerMB / proxy.ClientConnBytes)
+}
+
+// requestMemory returns how many bytes clients' requests may take together.
+func (s *deploymentSettings) requestMemory() int64 {
+	return int64(requestMemoryShare * float64(s.limits.MemoryMB) * bytesPerMB)
+}
+
 // setRuntimeLimits limits the Go runtime to the resources that the agent may use.
 func setRuntimeLimits(limits config.ResourceLimits) {
-	const bytesPerMB = 1 << 20
 	runtime.GOMAXPROCS(int(max(1, math.Ceil(limits.Cores))))
 	debug.SetMemoryLimit(int64(heapShare * float64(limits.MemoryMB) * bytesPerMB))
 	debug.SetGCPercent(gcPercent)
--- a/internal/agent/commands.go
+++ b/internal/agent/commands.go
@@ -81,7 +81,8 @@
 		Deadline:  attemptDeadline(request.Deadline, decidedAt, command.Timeout),
 		Withdrawn: &request.withdrawn,
 
-		HasClientLeft: request.checkClient,
+		HasClientLeft:   request.checkClient,
+		ReserveResponse: request.ReserveResponse,
 	}
 	if command.WriteBefore != 0 {
 		attempt.WriteBefore = e.clock.Time(command.WriteBefore)
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -29,6 +29,9 @@
 	// HasClientLeft reports whether the client has closed its connection. It is called before an attempt is written, by any goroutine;
 	// nil: the client never does.
 	HasClientLeft func() bool
+	// ReserveResponse reserves memory for the body of a response, and reports whether there was enough. It is called before the body is read,
+	// by any goroutine; nil: there always is.
+	ReserveResponse func(bodyBytes int64) bool
 
 	replies  chan Reply     // buffers the one final reply
 	retries  []*JoinedRetry // the retries that wait for the reply as well
--- a/internal/connlimit/budget.go
+++ b/internal/connlimit/budget.go
@@ -22,6 +22,7 @@
 type Budget struct {
 	mu            sync.Mutex
 	limit         int
+	clientLimit   int // the largest number of connections to clients; 0: their share of limit
 	clientConns   int
 	upstreamConns int
 	freed         chan struct{} // holds a token after a descriptor was released
@@ -32,9 +33,16 @@
 	return &Budget{limit: limit, freed: make(chan struct{}, 1)}
 }
 
+// LimitClients lowers the number of connections that clients may have. It has to be called before the budget is used.
+func (b *Budget) LimitClients(limit int) { b.clientLimit = limit }
+
 // MaxRequests returns how many requests may be open.
 func (b *Budget) MaxRequests() int {
-	return int((1 - reservedShare) * clientShare * float64(b.limit))
+	share := clientShare * float64(b.limit)
+	if b.clientLimit > 0 {
+		share = min(share, float64(b.clientLimit))
+	}
+	return int((1 - reservedShare) * share)
 }
 
 // IsShort reports whether so few descriptors are free that connections to clients should not be kept open between requests.
@@ -47,7 +55,11 @@
 
 // MaxClients returns how many connections clients may have.
 func (b *Budget) MaxClients() int {
-	return max(1, int(clientShare*float64(b.limit)))
+	share := int(clientShare * float64(b.limit))
+	if b.clientLimit > 0 {
+		share = min(share, b.clientLimit)
+	}
+	return max(1, share)
 }
 
 // isExhausted reports whether no descriptor is free. The caller holds mu.
--- a/internal/protocol/limits.go
+++ b/internal/protocol/limits.go
@@ -25,6 +25,11 @@
 	if length > BodyLimit {
 		return nil, ErrBodyTooLong
 	}
+	if length > 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
 	body, err := io.ReadAll(io.LimitReader(r, BodyLimit+1))
 	if err == nil && len(body) > BodyLimit {
 		err = ErrBodyTooLong
--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"switchfork/internal/connlimit"
 	"switchfork/internal/ratelog"
 
 	"golang.org/x/sys/unix"
@@ -40,14 +41,17 @@
 	requestStart  time.Time // when the first byte of the request was read
 	stateDeadline time.Time // when the state times out; zero: never
 	stateTimer    *time.Timer
-	timedOut      bool           // the head or the body of the request took too long to arrive
-	readAhead     []byte         // bytes that the client sent before the response to its last request
-	hasWritten    bool           // something was written since the connection was last idle
-	isPipelined   bool           // bytes of the next request arrived before the response to the last one was written
-	lastFraming   requestFraming // of the last request whose head has been read
-	isHalfClosed  bool           // half closed by retire, so that the client is notified of the close
-	hasOverrun    bool           // the client has sent more ahead of a response than hasLeft allows
-	isLingering   bool           // half closed by Close, which waits for the client to close
+	timedOut      bool                   // the head or the body of the request took too long to arrive, or the head needs too much memory
+	readAhead     []byte                 // bytes that the client sent before the response to its last request
+	hasWritten    bool                   // something was written since the connection was last idle
+	isPipelined   bool                   // bytes of the next request arrived before the response to the last one was written
+	lastFraming   requestFraming         // of the last request whose head has been read
+	memory        *connlimit.Reservation // of the request that the connection carries; nil: none
+	head          headMeter              // of the request whose head is being read
+	isHeadRead    bool                   // net/http has the head of the request
+	isHalfClosed  bool                   // half closed by retire, so that the client is notified of the close
+	isEnding      bool                   // the next response is the connection's last
+	isLingering   bool                   // half closed by Close, which waits for the client to close
 }
 
 // ReadFrom copies through Write. It hides the ReadFrom of net.TCPConn, which may have the kernel copy the data and bypass Write.
@@ -94,8 +98,8 @@
 		case returnsReadAhead:
 			n = copy(b, c.readAhead)
 			c.readAhead = c.readAhead[n:]
-			c.startReading()
-			return n, true, nil
+			n, err = c.passOn(fd, b[:n])
+			return n, true, err
 		}
 		buffer := b
 		if buffersInput {
@@ -113,12 +117,23 @@
 		case buffersInput:
 			c.readAhead = append(c.readAhead, buffer[:n]...)
 		default:
-			c.startReading()
-			return n, true, nil
+			n, err = c.passOn(fd, b[:n])
+			return n, true, err
 		}
 	}
 }
 
+// passOn records that bytes of a request have been read, and returns their number. If there is not enough memory for the request's head, it
+// rejects the request and ends the connection's input instead. The lock is held.
+func (c *clientConn) passOn(fd int, arrived []byte) (int, error) {
+	c.startReading()
+	if !c.reserveHead(arrived) {
+		c.rejectHead(fd)
+		return 0, os.ErrDeadlineExceeded
+	}
+	return len(arrived), nil
+}
+
 // readError wraps an error of the read system call as package net does.
 func (c *clientConn) readError(err error) error {
 	return &net.OpError{
--- a/internal/proxy/client_listener.go
+++ b/internal/proxy/client_listener.go
@@ -27,6 +27,7 @@
 type clientListener struct {
 	tcp    *net.TCPListener
 	budget *connlimit.Budget
+	memory *connlimit.MemoryBudget // for the requests that connections carry
 	loop   *agent.Loop
 	closed chan struct{} // closed when the listener is closed
 
@@ -41,10 +42,11 @@
 	closesAfterBacklog bool                      // the listener closes when the accept queue is empty
 }
 
-func newClientListener(loop *agent.Loop, budget *connlimit.Budget) *clientListener {
+func newClientListener(loop *agent.Loop, budget *connlimit.Budget, memory *connlimit.MemoryBudget) *clientListener {
 	return &clientListener{
 		loop:          loop,
 		budget:        budget,
+		memory:        memory,
 		closed:        make(chan struct{}),
 		lingerTimeout: defaultLingerTimeout,
 		conns:         map[*clientConn]bool{},
@@ -141,6 +143,7 @@
 		l.idleSince[c] = time.Now()
 	case http.StateClosed, http.StateHijacked:
 		if l.conns[c] {
+			c.closed()
 			delete(l.conns, c)
 			l.budget.ReleaseClient()
 		}
--- a/internal/proxy/client_presence.go
+++ b/internal/proxy/client_presence.go
@@ -25,9 +25,7 @@
 		ratelog.Warn("client left", "client has left before its request was sent", "unread_bytes", peer.UnreadBytes)
 	case hasOverrun:
 		ratelog.Warn("client overrun", "client has sent too much before its response", "unread_bytes", peer.UnreadBytes)
-		c.mu.Lock()
-		c.hasOverrun = true
-		c.mu.Unlock()
+		c.endWithResponse()
 	}
 	return peer.IsGone || hasOverrun
 }
@@ -40,14 +38,3 @@
 	}
 	return conn.hasLeft
 }
-
-// hasOverrunBy reports whether the client of a response has sent too much ahead, so that the response has to be its connection's last.
-func hasOverrunBy(response *http.Response) bool {
-	conn, ok := response.Request.Context().Value(connKey{}).(*clientConn)
-	if !ok {
-		return false
-	}
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
-	return conn.hasOverrun
-}
--- a/internal/proxy/conn_state.go
+++ b/internal/proxy/conn_state.go
@@ -58,6 +58,9 @@
 // startRequest enters stateReading at the start of a request. The lock is held.
 func (c *clientConn) startRequest() {
 	c.setState(stateReading)
+	c.releaseMemory()
+	c.memory = c.listener.memory.Reserve()
+	c.head, c.isHeadRead = headMeter{}, false
 	c.requestStart = c.stateSince
 }
 
@@ -70,6 +73,7 @@
 		c.isPipelined = true
 		c.startRequest()
 	}
+	c.isHeadRead = true
 	c.clearTimeout()
 	c.setStateDeadline(c.requestStart.Add(requestTimeout))
 }
@@ -100,6 +104,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hasWritten = false
+	c.releaseMemory()
 	c.setState(stateIdle)
 	if len(c.readAhead) > 0 {
 		c.startReading()
@@ -108,6 +113,20 @@
 	c.setStateDeadline(c.stateSince.Add(IdleTimeout))
 }
 
+// closed is called when the connection has been closed.
+func (c *clientConn) closed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releaseMemory()
+}
+
+// endWithResponse makes the next response the connection's last.
+func (c *clientConn) endWithResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isEnding = true
+}
+
 // stateDeadlinePassed is called by stateTimer. If the state has timed out, stateDeadlinePassed ends the pending read or retires the connection.
 func (c *clientConn) stateDeadlinePassed() {
 	c.mu.Lock()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -82,15 +82,26 @@
 }
 
 // closeConnIfNeeded makes a response announce that its connection closes. It does so during a drain, while few descriptors are left for
-// endpoints, to a client that has sent too much ahead, and once for each client that waits for a descriptor. A close that a response announces is the only kind that can't coincide
+// endpoints, to a client whose further input is not read, and once for each client that waits for a descriptor. A close that a response announces is the only kind that can't coincide
 // with the client's next request.
 func (p *Proxy) closeConnIfNeeded(response *http.Response) error {
-	if p.isDraining.Load() || p.budget.IsShort() || hasOverrunBy(response) || p.listener.takeWaitingClient() {
+	if p.isDraining.Load() || p.budget.IsShort() || isEndingWith(response) || p.listener.takeWaitingClient() {
 		response.Header.Set("Connection", "close")
 	}
 	return nil
 }
 
+// isEndingWith reports whether a response is its connection's last.
+func isEndingWith(response *http.Response) bool {
+	conn, ok := response.Request.Context().Value(connKey{}).(*clientConn)
+	if !ok {
+		return false
+	}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.isEnding
+}
+
 // handleReadError is called if the client has disconnected or the body of its request could not be read.
 func (p *Proxy) handleReadError(w http.ResponseWriter, r *http.Request, err error) {
 	if r.Context().Err() == nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -29,6 +29,7 @@
 	// MaxRetryAfter is the longest Retry-After that clients honor, or 0 if the agent sends none.
 	MaxRetryAfter time.Duration
 	Budget        *connlimit.Budget
+	Memory        *connlimit.MemoryBudget // for the requests of clients
 
 	// LastRequestID is the ID before that of the first request. These IDs identify requests to the policy and are unrelated to
 	// X-Request-Id. The router selects the endpoint of a request without a warm key by the request's ID. When the IDs of all agents started
@@ -68,7 +69,7 @@
 		maxOpenRequests: config.MaxOpenRequests,
 		maxRetryAfter:   config.MaxRetryAfter.Microseconds(),
 		budget:          config.Budget,
-		listener:        newClientListener(config.Loop, config.Budget),
+		listener:        newClientListener(config.Loop, config.Budget, config.Memory),
 		drainExpired:    make(chan struct{}),
 	}
 	p.lastRequestID.Store(config.LastRequestID)
--- a/internal/proxy/round_trip.go
+++ b/internal/proxy/round_trip.go
@@ -17,6 +17,9 @@
 // RoundTrip hands a request to the event loop and waits for its final reply. It implements http.RoundTripper.
 func (p *Proxy) RoundTrip(r *http.Request) (*http.Response, error) {
 	received, err := p.receive(r)
+	if errors.Is(err, errOutOfMemory) {
+		return p.rejectUnread(r), nil
+	}
 	if err != nil {
 		return errorResponse(r, err)
 	}
@@ -31,7 +34,12 @@
 	if !p.requestIDs.reserve(requestID) {
 		return errorResponse(r, &requestError{status: http.StatusConflict, reason: "X-Request-Id is that of an open txn"})
 	}
-	request := p.newRequest(r, received, receivedAt, func() { p.requestIDs.release(requestID) })
+	memory := holdMemory(r)
+	request := p.newRequest(r, received, receivedAt, func() {
+		p.requestIDs.release(requestID)
+		memory.release()
+	})
+	request.ReserveResponse = memory.reserveResponse
 	cancel := p.forward(r, received, request, receivedAt)
 	defer limitWriteTime(r, request)
 	reply, err := p.awaitReply(r, request, cancel)
@@ -52,6 +60,14 @@
 	return true
 }
 
+// rejectUnread rejects a request whose body has not been read, so that the response is its connection's last.
+func (p *Proxy) rejectUnread(r *http.Request) *http.Response {
+	if conn, ok := r.Context().Value(connKey{}).(*clientConn); ok && r.ContentLength > 0 {
+		conn.endWithResponse()
+	}
+	return replyResponse(agent.Reply{Rejected: true, RetryAfter: p.maxRetryAfter}, r)
+}
+
 // receivedRequest is a client's request that has been read completely.
 type receivedRequest struct {
 	*clientRequest
@@ -59,7 +75,7 @@
 	body   []byte
 }
 
-// receive decodes a request and reads its body.
+// receive decodes a request, reserves memory for it and reads its body. It returns errOutOfMemory if there is not enough memory.
 func (p *Proxy) receive(r *http.Request) (*receivedRequest, error) {
 	target, _ := r.Context().Value(targetKey{}).(string)
 	if !strings.HasPrefix(target, "/") {
@@ -69,6 +85,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.ContentLength <= protocol.BodyLimit {
+		err = p.reserveRequest(r)
+	}
+	if err != nil {
+		return nil, err
+	}
 	body, err := protocol.ReadBody(r.Body, r.ContentLength)
 	if errors.Is(err, protocol.ErrBodyTooLong) {
 		return nil, &requestError{status: http.StatusRequestEntityTooLarge, reason: err.Error()}
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -23,12 +23,16 @@
 	*agenttest.Rig
 	proxy  *Proxy
 	budget *connlimit.Budget
+	memory *connlimit.MemoryBudget
 	served chan error
 }
 
 // testDescriptors is the descriptor limit of a server that newTestServer starts.
 const testDescriptors = 64
 
+// testMemoryBytes is the memory budget of a server that newTestServer starts.
+const testMemoryBytes = 8 << 20
+
 // newTestServer starts a proxy. With holdsRequests, requests stay open until rejectAll.
 func newTestServer(t *testing.T, holdsRequests bool) *testServer {
 	t.Helper()
@@ -38,7 +42,12 @@
 // newLingeringServer starts a proxy with a descriptor limit and a linger timeout of its connections.
 func newLingeringServer(t *testing.T, descriptors int, holdsRequests bool, lingerTimeout time.Duration) *testServer {
 	t.Helper()
-	server := &testServer{Rig: agenttest.NewRig(t, time.Second), budget: connlimit.NewBudget(descriptors), served: make(chan error, 1)}
+	server := &testServer{
+		Rig:    agenttest.NewRig(t, time.Second),
+		budget: connlimit.NewBudget(descriptors),
+		memory: connlimit.NewMemoryBudget(testMemoryBytes),
+		served: make(chan error, 1),
+	}
 	var pending []policy.Command
 	server.Respond(func(event policy.Event) []policy.Command {
 		switch event := event.(type) {
@@ -62,6 +71,7 @@
 		},
 		MaxOpenRequests: 1000,
 		Budget:          server.budget,
+		Memory:          server.memory,
 		LastRequestID:   1,
 	})
 	server.proxy.listener.lingerTimeout = lingerTimeout
@@ -217,6 +227,9 @@
 	clients, _ := s.budget.InUse()
 	s.proxy.requestIDs.mu.Lock()
 	defer s.proxy.requestIDs.mu.Unlock()
+	if inUse := s.memory.InUse(); inUse != 0 {
+		t.Errorf("got %d bytes of requests' memory left, want none", inUse)
+	}
 	if clients != 0 || len(s.proxy.requestIDs.reserved) != 0 || len(s.proxy.listener.conns) != 0 || len(s.proxy.listener.idleSince) != 0 {
 		t.Errorf("got %d descriptors, %d ids, %d connections and %d idle ones left, want none", clients, len(s.proxy.requestIDs.reserved), len(s.proxy.listener.conns),
 			len(s.proxy.listener.idleSince))
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -22,7 +22,7 @@
 			w.mailbox.Put(dialResult{exchange: exchange, err: err})
 			return
 		}
-		conn := &connection{Conn: raw, process: target, readNext: make(chan struct{}, 1)}
+		conn := &connection{Conn: raw, process: target, readNext: make(chan reserveFunc, 1)}
 		w.mailbox.Put(dialResult{exchange: exchange, connection: conn})
 		conn.read(w.pool.config.LoadReportFields, w.mailbox.Put)
 	}()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -20,6 +20,8 @@
 	// HasClientLeft reports whether the request's client has closed its connection. Nothing of the request may be written from then on.
 	// nil: it never does.
 	HasClientLeft func() bool
+	// ReserveResponse reserves memory for a response's body, and reports whether there was enough. nil: there always is.
+	ReserveResponse func(bodyBytes int64) bool
 }
 
 // isWithdrawn reports whether nobody waits for the request any more.
--- a/internal/upstream/idle_pool_test.go
+++ b/internal/upstream/idle_pool_test.go
@@ -38,7 +38,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = server.Close() }) // fails only if the test has closed it already
-	return &connection{Conn: client, readNext: make(chan struct{}, 1)}, server
+	return &connection{Conn: client, readNext: make(chan reserveFunc, 1)}, server
 }
 
 // upstreamsInUse returns the number of descriptors that the pool's connections hold.
--- a/internal/upstream/response_reader.go
+++ b/internal/upstream/response_reader.go
@@ -27,6 +27,8 @@
 	notRun = "1"
 )
 
+var errNoMemory = errors.New("no memory left for the response")
+
 var errNoLength = errors.New("response has neither a length nor a transfer encoding")
 
 // responseReader reads the responses of one connection. It bounds the memory and the time that each of them may take.
@@ -53,15 +55,15 @@
 }
 
 // next reads one response and skips interim responses before it. If more bytes follow the response, the response is marked as the
-// connection's last, or rejected if it may not be whole.
-func (r *responseReader) next(loadReportFields []string) (*protocol.Response, error) {
+// connection's last, or rejected if it may not be whole. Memory for the body is reserved before it is read.
+func (r *responseReader) next(loadReportFields []string, reserve reserveFunc) (*protocol.Response, error) {
 	r.limit.N = protocol.HeadLimit + protocol.BodyLimit
 	for {
 		if _, err := r.buffered.Peek(1); err != nil {
 			return nil, r.readError(err)
 		}
 		r.hasBegun = true
-		response, err := readResponse(r.buffered, loadReportFields)
+		response, err := readResponse(r.buffered, loadReportFields, reserve)
 		if err != nil {
 			return nil, r.readError(err)
 		}
@@ -82,7 +84,7 @@
 }
 
 // readResponse reads one response. It returns nil for an interim response.
-func readResponse(from *bufio.Reader, loadReportFields []string) (*protocol.Response, error) {
+func readResponse(from *bufio.Reader, loadReportFields []string, reserve reserveFunc) (*protocol.Response, error) {
 	if err := checkHTTP10(from); err != nil {
 		return nil, err
 	}
@@ -102,6 +104,9 @@
 		ContentType: r.Header.Get("Content-Type"),
 		IsLast:      r.Close,
 	}
+	if reserve != nil && !reserve(bodyBytes(r.ContentLength)) {
+		return nil, errNoMemory
+	}
 	if response.Body, err = protocol.ReadBody(r.Body, r.ContentLength); err != nil {
 		return nil, err
 	}
@@ -110,6 +115,14 @@
 	return response, nil
 }
 
+// bodyBytes returns how long a body may be whose Content-Length is given, or -1 if it is not known.
+func bodyBytes(contentLength int64) int64 {
+	if contentLength < 0 {
+		return protocol.BodyLimit
+	}
+	return min(contentLength, protocol.BodyLimit)
+}
+
 // responseResult classifies a response by its status and headers.
 func responseResult(r *http.Response) protocol.Result {
 	isUnavailable := r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusGatewayTimeout
--- a/internal/upstream/transfer.go
+++ b/internal/upstream/transfer.go
@@ -23,7 +23,7 @@
 		return
 	}
 	request := exchange.Encoded.Bytes(time.Until(exchange.Deadline))
-	conn.readNext <- struct{}{} // sent before the write, as the response may arrive before the request is written completely
+	conn.readNext <- exchange.ReserveResponse // sent before the write, as the response may arrive before the request is written completely
 	conn.exchange = exchange
 	exchange.connection, exchange.isWritten, exchange.lostResult = conn, false, protocol.Succeeded
 	if exchange.isOutdated(w.pool.dialer.Timeout) {
@@ -89,6 +89,9 @@
 
 // readErrorResult distinguishes the end of a connection from a response that can't be read.
 func readErrorResult(err error) protocol.Result {
+	if errors.Is(err, errNoMemory) {
+		return protocol.Cancelled // the endpoint is not to blame
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return protocol.Malformed // a response began and then paused for longer than maxResponseGap
 	}
