Proxy: clients' requests together stay within a share of the memory limit

Cause: each request was bounded, all of them together were not. A head of 1,300 short lines takes thirty times its length. Requests whose clients left were held until their attempts ended, beside those of the clients that came next, and responses were held unread.

What has no room gets 503 at once and its connection closes; a response without room ends its attempt as cancelled.

--- a/cmd/switchfork/serve.go
+++ b/cmd/switchfork/serve.go
@@ -101,6 +101,7 @@
 	p := &agentProcess{file: file, options: opts, settings: settings}
 	p.clock = agent.NewClock()
 	p.budget = connlimit.NewBudget(settings.limits.Sockets - reservedDescriptors)
+	p.budget.LimitClients(settings.maxClients())
 	p.loop = agent.NewLoop(router, p.clock)
 	p.pool = p.newPool()
 	p.discovery = p.newDiscoveryClient()
--- a/internal/connlimit/memory.go
+++ b/internal/connlimit/memory.go
@@ -37,7 +37,8 @@
 	holders int
 }
 
-// RaiseTo makes a reservation at least as large as bytes, and reports whether the budget had as much left.
+// RaiseTo makes a reservation at least as large as bytes, and reports whether the budget had as much left. If it had not, the reservation is
+// unchanged.
 func (r *Reservation) RaiseTo(bytes int64) bool {
 	b := r.budget
 	b.mu.Lock()
@@ -50,9 +51,12 @@
 	if added <= 0 {
 		return true
 	}
+	if b.used+added > limit {
+		return false
+	}
 	b.used += added
 	r.bytes = bytes
-	return b.used <= limit
+	return true
 }
 
 // Budget returns the budget of which a reservation is a part.
--- a/internal/endtoend/running_agent_test.go
+++ b/internal/endtoend/running_agent_test.go
@@ -44,6 +44,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startProgram(t, binary, change, hosts...)
+}
+
+// startProgram is startAgent for another build of the program.
+func startProgram(t *testing.T, binary string, change func(config string) string, hosts ...string) *runningAgent {
+	t.Helper()
 	a := &runningAgent{log: &fakes.Log{}, client: http.DefaultClient, exited: make(chan error, 1)}
 	a.discovery = agenttest.NewStreamServer(t, "\n", 100*time.Millisecond, func(string) string { return "" })
 	a.rolloutController = agenttest.NewStreamServer(t, ":\n", 100*time.Millisecond, func(target string) string {
--- a/internal/proxy/request_memory.go
+++ b/internal/proxy/request_memory.go
@@ -84,10 +84,7 @@
 		return true
 	}
 	c.head.add(arrived)
-	if !c.memory.RaiseTo(c.head.cost()) {
-		logOutOfMemory("head", c.head.cost(), c.listener.memory)
-	}
-	return true
+	return c.memory.RaiseTo(c.head.cost())
 }
 
 // rejectHead writes the response to a request that is rejected before its head has been read, and ends the connection's input as a timeout
@@ -112,7 +109,7 @@
 		return nil
 	}
 	logOutOfMemory("request", cost, p.listener.memory)
-	return nil
+	return errOutOfMemory
 }
 
 // requestMemory is the memory of a request that is forwarded. It stays reserved while the event loop has the request, even if its client leaves.
@@ -143,7 +140,7 @@
 		return true
 	}
 	logOutOfMemory("response", cost, m.reservation.Budget())
-	return true
+	return false
 }
 
 func (m *requestMemory) release() {
