Proxy: a connection whose client sends without a pause is slowed down

Cause: with one core the Go scheduler has one processor. A connection whose next request is always there runs until it is preempted after 10 ms, and only as often does the scheduler look for other connections' input. Each step of another request waits for that.

Change: in clientConn.Read a connection that was busy for over 2 ms and 16 requests, without having waited for input, pauses for nine times as long (50 ms at most). Waiting for a reply is not busy time.

Failed try: to pause before a read, whether or not input is there. On a busy machine that would have delayed usual clients' next requests by up to 50 ms.

--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -38,6 +38,7 @@
 	mu            sync.Mutex
 	state         connState
 	stateSince    time.Time
+	busy          busyTimer // since the connection last waited for input
 	requestStart  time.Time // when the first byte of the request was read
 	stateDeadline time.Time // when the state times out; zero: never
 	stateTimer    *time.Timer
@@ -66,13 +67,22 @@
 	if len(b) == 0 {
 		return 0, nil
 	}
+	detectsDisconnection := len(b) == 1
+	hasWaited := false
 	pollErr := c.raw.Read(func(fd uintptr) (isDone bool) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		n, isDone, err = c.readAvailable(int(fd), b)
+		if hasWaited && !detectsDisconnection {
+			c.busy.restart()
+		}
+		hasWaited = !isDone
 		return isDone
 	})
 	if pollErr == nil {
+		if !hasWaited && !detectsDisconnection {
+			c.pace()
+		}
 		return n, err
 	}
 	c.mu.Lock()
--- a/internal/proxy/client_listener.go
+++ b/internal/proxy/client_listener.go
@@ -31,6 +31,7 @@
 	loop   *agent.Loop
 	closed chan struct{} // closed when the listener is closed
 
+	pauses         atomic.Int64  // of connections whose clients send too fast
 	waitingClients atomic.Int64  // clients that wait for another client's descriptor
 	lingerTimeout  time.Duration // how long a connection stays half closed after its last response
 
@@ -117,6 +118,7 @@
 	c.raw, _ = tcp.SyscallConn() // fails only if tcp is nil
 	c.mu.Lock()
 	c.setState(stateNew)
+	c.busy.restart()
 	c.setStateDeadline(c.stateSince.Add(firstByteTimeout))
 	c.mu.Unlock()
 	l.mu.Lock()
--- a/internal/proxy/conn_state.go
+++ b/internal/proxy/conn_state.go
@@ -92,6 +92,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.setState(stateAwaiting)
+	c.busy.pause()
 	c.clearTimeout()
 	c.stateDeadline = time.Time{}
 	if c.stateTimer != nil {
@@ -103,6 +104,8 @@
 func (c *clientConn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.busy.resume()
+	c.busy.requests++
 	c.hasWritten = false
 	c.releaseMemory()
 	c.setState(stateIdle)
