Policy: a timeout of an attempt that had next to no time does not count

Cause: two timeouts in a row eject an endpoint and each lowers its concurrency limit, whatever time the attempts had. A few such requests put all endpoints out of use.

Evidence: the log names each endpoint in turn with result="timed out" elapsed_ms=1, and the activity line 28,847 rejected of 32,788.

Failed try: not to count such timeouts in the zones' limits and in the evidence on builds either; evaluators-collapse.txt then advanced a release during a collapse.

--- a/internal/policy/concurrency_limit.go
+++ b/internal/policy/concurrency_limit.go
@@ -6,6 +6,7 @@
 	initialEndpointLimit  = 4.0  // limit of a new endpoint: two requests being served and two waiting
 	quickAnswerFraction   = 0.25 // part of the latency objective; a quicker answer shows free capacity
 	lateAnswerFraction    = 0.45 // part of the latency objective; a later answer shows that too many attempts are open
+	cutShortFraction      = 0.1  // part of the latency objective; an attempt that had less time is no sign of anything
 	limitDecreaseFactor   = 0.7
 	limitDecreaseInterval = 250 * millisecond // late answers within this time count as one sign of overload
 	// silenceTimeoutFraction is the part of the latency objective after which an endpoint with attempts in flight and no answer
@@ -62,6 +63,11 @@
 	return o.Outcome == OK && float64(o.Elapsed) < quickAnswerFraction*float64(o.latencyObjective)
 }
 
+// isCutShort reports whether an attempt had so little time that its timeout says nothing about its endpoint.
+func (o attemptOutcome) isCutShort() bool {
+	return o.Outcome == TimedOut && float64(o.Elapsed) < cutShortFraction*float64(o.latencyObjective)
+}
+
 // isOverloadSign reports whether an outcome shows that too many attempts are open at its endpoint.
 func (o attemptOutcome) isOverloadSign() bool {
 	switch o.Outcome {
@@ -70,7 +76,7 @@
 	case Rejected:
 		return true
 	case TimedOut:
-		return o.latencyObjective > 0
+		return o.latencyObjective > 0 && !o.isCutShort()
 	case ServerError, ConnectFailed, ConnectionLost, Cancelled, NotAttempted, Malformed:
 	}
 	return false
--- a/internal/policy/outlier.go
+++ b/internal/policy/outlier.go
@@ -28,7 +28,7 @@
 	case Rejected:
 		e.rejectingUntil = e.now + rejectionBackoff
 	case TimedOut:
-		if e.lastAnswerAt < e.now-outcome.Elapsed {
+		if e.lastAnswerAt < e.now-outcome.Elapsed && !outcome.isCutShort() {
 			e.silentOutcomes++
 		}
 	case ConnectionLost: // if the process is dead, the next connection is lost or refused too
