--- a/cmd/switchfork/serve.go
+++ b/cmd/switchfork/serve.go
@@ -161,7 +161,12 @@
 func (p *agentProcess) newProxy() *proxy.Proxy {
 	var classes []proxy.RequestClass
 	for _, class := range p.settings.classes {
-		classes = append(classes, proxy.RequestClass{Name: class.Name, Idempotency: class.Idempotency, Timeout: class.Timeout})
+		classes = append(classes, proxy.RequestClass{
+			Name:        class.Name,
+			Idempotency: class.Idempotency,
+			MayRepeat:   class.MayRepeat,
+			Timeout:     class.Timeout,
+		})
 	}
 	return proxy.New(proxy.Config{
 		Loop:            p.loop,
--- a/internal/agent/open_requests.go
+++ b/internal/agent/open_requests.go
@@ -92,6 +92,7 @@
 		return true
 	}
 	request.inFlight--
+	request.mayHaveRun = request.mayHaveRun || finished.Result.MayHaveRun()
 	if !request.answered && request.clientLeft.Load() { // seen before the attempt was written, so it was not
 		// The reply ends the wait of a proxy that can't see the client's close behind unread input.
 		request.Deliver(Reply{Rejected: request.attempts == 1})
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -33,13 +33,14 @@
 	// by any goroutine; nil: there always is.
 	ReserveResponse func(bodyBytes int64) bool
 
-	replies  chan Reply     // buffers the one final reply
-	retries  []*JoinedRetry // the retries that wait for the reply as well
-	answered bool           // the final reply is given, or the client has gone
-	result   admission.Result
-	inFlight int                // attempts that have not ended
-	attempts int                // attempts that were sent
-	endpoint *upstream.Endpoint // endpoint of the latest attempt
+	replies    chan Reply     // buffers the one final reply
+	retries    []*JoinedRetry // the retries that wait for the reply as well
+	answered   bool           // the final reply is given, or the client has gone
+	result     admission.Result
+	mayHaveRun bool               // an attempt has run or may have run
+	inFlight   int                // attempts that have not ended
+	attempts   int                // attempts that were sent
+	endpoint   *upstream.Endpoint // endpoint of the latest attempt
 	// withdrawn is set with answered. An attempt that has not been written by then is not written. Endpoints read it.
 	withdrawn atomic.Bool
 	// clientLeft is set once HasClientLeft has returned true. Endpoints set it.
@@ -58,6 +59,9 @@
 // Result returns how an answered request ended. OnDone may call it.
 func (r *Request) Result() admission.Result { return r.result }
 
+// MayHaveRun reports whether an attempt has run or may have run. OnDone may call it.
+func (r *Request) MayHaveRun() bool { return r.mayHaveRun }
+
 // Deliver gives the final reply to the client. Only the goroutine that owns the request may call it, once.
 func (r *Request) Deliver(reply Reply) { r.replies <- reply }
 
--- a/internal/config/classes.go
+++ b/internal/config/classes.go
@@ -10,6 +10,7 @@
 type RequestClass struct {
 	Name        string
 	Idempotency policy.Idempotency
+	MayRepeat   bool // any endpoint may get a request again that may have run: it runs again without harm, or is dropped
 	Timeout     time.Duration
 }
 
@@ -77,10 +78,30 @@
 	return RequestClass{
 		Name:        c.text(c.key(classKeyName)),
 		Idempotency: c.idempotency(),
+		MayRepeat:   c.mayRepeat(),
 		Timeout:     c.duration(c.key(classKeyTimeout)),
 	}
 }
 
+func (c classSettings) mayRepeat() bool {
+	switch c.idempotency() {
+	case policy.Idempotent:
+		return true
+	case policy.Keyed:
+		return c.dedupScope() == policy.DedupAll
+	case policy.NonIdempotent:
+	}
+	return false
+}
+
+func (c classSettings) dedupScope() policy.DedupScope {
+	return enum(c.keyValues, c.key(classKeyDedupScope), map[string]policy.DedupScope{
+		"all":  policy.DedupAll,
+		"zone": policy.DedupZone,
+		"cell": policy.DedupCell,
+	})
+}
+
 func (c classSettings) priority() ClassPriority {
 	return ClassPriority{
 		LatencyObjective: c.duration(c.key(classKeyLatencyObjective)),
@@ -100,11 +121,7 @@
 func (c classSettings) policyClass() policy.RequestClass {
 	class := policy.RequestClass{Idempotency: c.idempotency()}
 	if class.Idempotency == policy.Keyed {
-		class.DedupScope = enum(c.keyValues, c.key(classKeyDedupScope), map[string]policy.DedupScope{
-			"all":  policy.DedupAll,
-			"zone": policy.DedupZone,
-			"cell": policy.DedupCell,
-		})
+		class.DedupScope = c.dedupScope()
 		class.DedupWindow = c.micros(c.key(classKeyDedupWindow))
 	}
 	class.LatencyObjective = c.micros(c.key(classKeyLatencyObjective))
--- a/internal/protocol/result.go
+++ b/internal/protocol/result.go
@@ -43,6 +43,16 @@
 	Stale:             {policy.NotAttempted, "stale"},
 }
 
+// MayHaveRun reports whether an attempt with the result has run, may have run or may still run.
+func (r Result) MayHaveRun() bool {
+	switch r {
+	case Succeeded, ServerError, ClientError, LostAfterSent, TimedOut, Cancelled, Malformed:
+		return true
+	case NotRun, ConnectionRefused, ConnectTimeout, LostBeforeSent, NotSent, Stale, resultCount:
+	}
+	return false
+}
+
 // Outcome returns the policy's outcome for the result.
 func (r Result) Outcome() policy.Outcome { return results[r].outcome }
 
--- a/internal/proxy/request_decoder.go
+++ b/internal/proxy/request_decoder.go
@@ -16,6 +16,7 @@
 type RequestClass struct {
 	Name        string // the first segment of the path
 	Idempotency policy.Idempotency
+	MayRepeat   bool          // a request that may have run may be sent again with the same id
 	Timeout     time.Duration // timeout of a request without X-Deadline-Ms
 }
 
--- a/internal/proxy/round_trip.go
+++ b/internal/proxy/round_trip.go
@@ -31,12 +31,14 @@
 		return replyResponse(agent.Reply{Rejected: true, RetryAfter: p.maxRetryAfter}, r), nil
 	}
 	requestID := r.Header.Get(requestIDHeader)
-	if !p.requestIDs.reserve(requestID) {
-		return errorResponse(r, &requestError{status: http.StatusConflict, reason: "X-Request-Id is that of an open txn"})
+	if conflict := p.requestIDs.reserve(requestID); conflict != nil {
+		return errorResponse(r, conflict)
 	}
 	memory := holdMemory(r)
-	request := p.newRequest(r, received, receivedAt, func() {
-		p.requestIDs.release(requestID)
+	var request *agent.Request
+	request = p.newRequest(r, received, receivedAt, func() {
+		isSpent := request.MayHaveRun() && !p.decoder.classes[received.class].MayRepeat
+		p.requestIDs.release(requestID, isSpent)
 		memory.release()
 	})
 	request.ReserveResponse = memory.reserveResponse
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -65,8 +65,10 @@
 	server.proxy = New(Config{
 		Loop: server.Loop,
 		Classes: []RequestClass{
-			{Name: "lookup", Idempotency: policy.Idempotent, Timeout: agenttest.WaitTimeout},
-			{Name: "posting", Idempotency: policy.Keyed, Timeout: agenttest.WaitTimeout},
+			{Name: "lookup", Idempotency: policy.Idempotent, MayRepeat: true, Timeout: agenttest.WaitTimeout},
+			{Name: "posting", Idempotency: policy.Keyed, MayRepeat: true, Timeout: agenttest.WaitTimeout},
+			{Name: "zone-posting", Idempotency: policy.Keyed, Timeout: agenttest.WaitTimeout},
+			{Name: "closing", Idempotency: policy.NonIdempotent, Timeout: agenttest.WaitTimeout},
 			{Name: "_health", Idempotency: policy.Idempotent, Timeout: agenttest.WaitTimeout},
 		},
 		MaxOpenRequests: 1000,
