Proxy: an id that may have run and must not run again is refused with 409

Cause: an id was reserved only while its request was open or had an attempt in flight. One that came later was a new request to the router, of which nothing had run. That the client had left is no condition for it.

Change: reserve, which every request passes before it is handed on, refuses ids that are remembered as spent. Keyed requests whose repeats are dropped everywhere, idempotent ones, and ids of which nothing has run may come again as before.

--- a/internal/proxy/request_ids.go
+++ b/internal/proxy/request_ids.go
@@ -39,7 +39,7 @@
 	case s.reserved[id]:
 		return errOpenID
 	case s.spent.contains(id):
-		errSpentID.log()
+		return errSpentID
 	}
 	s.reserved[id] = true
 	return nil
