Proxy: responses may fill more of the requests' memory than new requests

What callers saw: in a burst of 250 requests at once with bodies of 16 KB and responses of 60 KB, at 32 MB, 11 of 6,600 were sent and then answered with 504, as the response had no room beside the large requests that were still to be sent.

Cause: both could fill three quarters of the budget.

Change: a response may fill 0.85 of it, so that what has been sent can end. A response of unknown length is counted for twice the limit, as its buffer grows.

--- a/internal/connlimit/memory.go
+++ b/internal/connlimit/memory.go
@@ -8,6 +8,8 @@
 	smallReservationBytes = 32 << 10
 	// largeShare is the part of a memory budget that large reservations may fill.
 	largeShare = 0.75
+	// finishingShare is the part that requests may fill which will end once they have their memory.
+	finishingShare = 0.85
 )
 
 // MemoryBudget bounds the memory that clients' requests take together.
@@ -40,13 +42,23 @@
 // RaiseTo makes a reservation at least as large as bytes, and reports whether the budget had as much left. If it had not, the reservation is
 // unchanged.
 func (r *Reservation) RaiseTo(bytes int64) bool {
-	b := r.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	limit := b.limit
+	limit := r.budget.limit
 	if bytes > smallReservationBytes {
 		limit = int64(largeShare * float64(limit))
 	}
+	return r.raise(bytes, limit)
+}
+
+// RaiseToFinish is RaiseTo for a request that will end once it has the memory. Requests that are still to be sent leave a part of the budget to
+// those.
+func (r *Reservation) RaiseToFinish(bytes int64) bool {
+	return r.raise(bytes, int64(finishingShare*float64(r.budget.limit)))
+}
+
+func (r *Reservation) raise(bytes, limit int64) bool {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	added := bytes - r.bytes
 	if added <= 0 {
 		return true
--- a/internal/connlimit/memory_test.go
+++ b/internal/connlimit/memory_test.go
@@ -17,6 +17,13 @@
 	if !large.RaiseTo(limit * largeShare) {
 		t.Error("a large reservation did not get its share")
 	}
+	finishing := budget.Reserve()
+	total := float64(limit)
+	left := int64(total*finishingShare) - int64(total*largeShare)
+	if !finishing.RaiseToFinish(left) || finishing.RaiseToFinish(left+1) {
+		t.Error("a request that will end with its response did not get its share of the budget, or got more")
+	}
+	finishing.Release()
 	var small []*Reservation
 	for budget.InUse() < limit {
 		reservation := budget.Reserve()
--- a/internal/proxy/request_memory.go
+++ b/internal/proxy/request_memory.go
@@ -136,7 +136,7 @@
 		return true
 	}
 	cost := m.cost - responseAllowanceBytes + bodyBytes
-	if m.reservation.RaiseTo(cost) {
+	if m.reservation.RaiseToFinish(cost) {
 		return true
 	}
 	logOutOfMemory("response", cost, m.reservation.Budget())
--- a/internal/proxy/request_memory_test.go
+++ b/internal/proxy/request_memory_test.go
@@ -28,12 +28,12 @@
 		lastTestID.Add(1), fields, contentLength)
 }
 
-// fillMemory takes the memory that large requests may take together.
+// fillMemory takes the memory that all but small requests may take together.
 func fillMemory(t *testing.T, server *testServer) {
 	t.Helper()
 	const step = 1 << 10
 	filling := server.memory.Reserve()
-	for bytes := int64(step); filling.RaiseTo(bytes); bytes += step {
+	for bytes := int64(step); filling.RaiseToFinish(bytes); bytes += step {
 	}
 	t.Cleanup(filling.Release)
 }
--- a/internal/upstream/response_reader.go
+++ b/internal/upstream/response_reader.go
@@ -115,10 +115,13 @@
 	return response, nil
 }
 
-// bodyBytes returns how long a body may be whose Content-Length is given, or -1 if it is not known.
+// growthFactor is how much more memory a body of unknown length may take while its buffer grows.
+const growthFactor = 2
+
+// bodyBytes returns how much memory the reading of a body may take whose Content-Length is given, or -1 if it is not known.
 func bodyBytes(contentLength int64) int64 {
 	if contentLength < 0 {
-		return protocol.BodyLimit
+		return growthFactor * protocol.BodyLimit
 	}
 	return min(contentLength, protocol.BodyLimit)
 }
