Proxy: a receive buffer of unknown size does not count as full

If the system reports unread input but not the size of the receive buffer, each client with any unread input would have been taken for one that has sent too much. The limit is one longest request then.

--- a/internal/proxy/client_presence.go
+++ b/internal/proxy/client_presence.go
@@ -19,7 +19,7 @@
 // hasLeft reports whether the client has closed its connection, or has sent so much ahead that its close could not be seen.
 func (c *clientConn) hasLeft() bool {
 	peer := tcpconn.PeerOf(c.raw)
-	hasOverrun := peer.UnreadBytes > min(maxUnreadBytes, peer.ReceiveBuffer/unreadBufferDivisor)
+	hasOverrun := peer.UnreadBytes > unreadLimit(peer.ReceiveBuffer)
 	switch {
 	case peer.IsGone:
 		ratelog.Warn("client left", "client has left before its request was sent", "unread_bytes", peer.UnreadBytes)
@@ -30,6 +30,14 @@
 	return peer.IsGone || hasOverrun
 }
 
+// unreadLimit returns how many bytes a client may send ahead. receiveBuffer is 0 if the kernel does not report its size.
+func unreadLimit(receiveBuffer int) int {
+	if receiveBuffer <= 0 {
+		return maxUnreadBytes
+	}
+	return min(maxUnreadBytes, receiveBuffer/unreadBufferDivisor)
+}
+
 // clientPresence returns the function by which a request's client is looked for before an attempt is written.
 func clientPresence(r *http.Request) func() bool {
 	conn, ok := r.Context().Value(connKey{}).(*clientConn)
--- a/internal/tcpconn/peer.go
+++ b/internal/tcpconn/peer.go
@@ -11,7 +11,8 @@
 type Peer struct {
 	IsGone      bool // the peer has closed its side or reset the connection, or the connection is closed on this side
 	UnreadBytes int  // input that has arrived and is not read
-	// ReceiveBuffer is the size of the kernel's receive buffer in bytes. A peer's close does not arrive while the buffer is full.
+	// ReceiveBuffer is the size of the kernel's receive buffer in bytes, or 0 if it is not reported. A peer's close does not arrive while
+	// the buffer is full.
 	ReceiveBuffer int
 }
 
