--- a/internal/agent/open_requests.go
+++ b/internal/agent/open_requests.go
@@ -95,7 +95,7 @@
 	request.mayHaveRun = request.mayHaveRun || finished.Result.MayHaveRun()
 	if !request.answered && request.clientLeft.Load() { // seen before the attempt was written, so it was not
 		// The reply ends the wait of a proxy that can't see the client's close behind unread input.
-		request.Deliver(Reply{Rejected: request.attempts == 1})
+		request.Deliver(Reply{Rejected: !request.mayHaveRun})
 		r.finishAbandoned(finished.RequestID, request)
 		return true
 	}
--- a/internal/upstream/attempts.go
+++ b/internal/upstream/attempts.go
@@ -110,6 +110,15 @@
 	w.idle.add(conn)
 }
 
+// keepUnused keeps a connection on which nothing was written for the next exchange.
+func (w *worker) keepUnused(conn *connection) {
+	if conn.idleSince.IsZero() { // it has just come up
+		w.makeIdle(conn)
+		return
+	}
+	w.idle.putBack(conn)
+}
+
 // isCurrent reports whether a connection leads to the process in the latest list entry and the endpoint has not been removed.
 func (w *worker) isCurrent(conn *connection) bool { return !w.isRemoved && conn.process == w.process }
 
--- a/internal/upstream/idle_pool.go
+++ b/internal/upstream/idle_pool.go
@@ -66,6 +66,16 @@
 	p.scheduleSweep()
 }
 
+// putBack returns a connection that take has removed and that was not used. To the endpoint, it has been idle all the time.
+func (p *idlePool) putBack(conn *connection) {
+	after := slices.IndexFunc(p.idle, func(other *connection) bool { return other.idleSince.After(conn.idleSince) })
+	if after < 0 {
+		after = len(p.idle)
+	}
+	p.idle = slices.Insert(p.idle, after, conn)
+	p.scheduleSweep()
+}
+
 // close closes a connection, idle or not, once, and releases its descriptor.
 func (p *idlePool) close(conn *connection) {
 	if conn.isClosed {
--- a/internal/upstream/idle_pool_test.go
+++ b/internal/upstream/idle_pool_test.go
@@ -47,6 +47,27 @@
 	return upstreams
 }
 
+// A connection that was taken and put back unused has been idle since it was last used, and keeps its place: the endpoint may close it at the end
+// of that time.
+func TestUnusedConnectionStaysIdle(t *testing.T) {
+	pool := newTestIdlePool(4)
+	first, _ := pool.openConnection(t)
+	second, _ := pool.openConnection(t)
+	pool.add(first)
+	pool.add(second)
+	since := second.idleSince
+	pool.take()
+	pool.take()
+	pool.putBack(second)
+	pool.putBack(first)
+	if second.idleSince != since {
+		t.Errorf("the connection is idle since %v, want %v", second.idleSince, since)
+	}
+	if got := pool.take(); got != second {
+		t.Errorf("got %p, want the connection that was used last, %p", got, second)
+	}
+}
+
 // The connection that was used last is taken first, and none twice.
 func TestLastUsedConnectionIsTakenFirst(t *testing.T) {
 	pool := newTestIdlePool(4)
--- a/internal/upstream/transfer.go
+++ b/internal/upstream/transfer.go
@@ -18,7 +18,7 @@
 // waited for before.
 func (w *worker) write(conn *connection, exchange *httpExchange) {
 	if exchange.isAbandoned() {
-		w.makeIdle(conn) // for the next exchange
+		w.keepUnused(conn)
 		w.finish(exchange, protocol.NotSent, nil)
 		return
 	}
