--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -82,8 +82,8 @@
 }
 
 // closeConnIfNeeded makes a response announce that its connection closes. It does so during a drain, while few descriptors are left for
-// endpoints, to a client whose further input is not read, and once for each client that waits for a descriptor. A close that a response announces is the only kind that can't coincide
-// with the client's next request.
+// endpoints, to a client whose further input is not read, and once for each client that waits for a descriptor. A close that a response
+// announces is the only kind that can't coincide with the client's next request.
 func (p *Proxy) closeConnIfNeeded(response *http.Response) error {
 	if p.isDraining.Load() || p.budget.IsShort() || isEndingWith(response) || p.listener.takeWaitingClient() {
 		response.Header.Set("Connection", "close")
